--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,75 @@
+//! Command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use crate::settings::Settings;
+use crate::transport;
+use crate::tunables::Tunables;
+
+#[derive(Parser)]
+#[command(name = "olivelatch", version, about = "A cluster scheduler for small controllers")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a controller until it is killed
+    Serve(Files),
+    /// Check the settings and exit
+    Check(Files),
+}
+
+#[derive(clap::Args)]
+struct Files {
+    /// Tunables (HCL); without it the defaults hold
+    #[arg(long, value_name = "FILE")]
+    tunables: Option<PathBuf>,
+    /// The platform's settings file (JSON)
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
+/// Exit code for settings that can't be used, as for wrong arguments.
+const BAD_SETTINGS: u8 = 2;
+
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let (Command::Serve(files) | Command::Check(files)) = &cli.command;
+    let (settings, tunables) = match load(files) {
+        Ok(loaded) => loaded,
+        Err(problem) => {
+            eprintln!("olivelatch: {problem}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    match cli.command {
+        Command::Check(_) => {
+            println!("settings of {} are fine", settings.node);
+            ExitCode::SUCCESS
+        }
+        Command::Serve(_) => {
+            crate::logging::start(&settings.node);
+            match transport::serve(settings, tunables) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    log::error!("cannot serve: {error}");
+                    ExitCode::FAILURE
+                }
+            }
+        }
+    }
+}
+
+fn load(files: &Files) -> Result<(Settings, Tunables), String> {
+    let settings = Settings::load(&files.config).map_err(|error| error.to_string())?;
+    let tunables = match &files.tunables {
+        Some(path) => Tunables::load(path).map_err(|error| error.to_string())?,
+        None => Tunables::default(),
+    };
+    Ok((settings, tunables))
+}
--- /dev/null
+++ b/src/coordination/leader/fleet.rs
@@ -0,0 +1,637 @@
+//! Renting, draining and returning machines.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use super::{Leader, Life, Work};
+use crate::bookkeeping::ids::{JobIx, KindIx, MachineIx, Millis, Token, ZoneIx};
+use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::records::{BookingRecord, Key};
+use crate::coordination::budget::Budget;
+use crate::coordination::{AskId, Clock, Output};
+use crate::protocol::Outcome;
+use crate::protocol::cloud::{CloudReply, CloudRequest, Listed, ListedState, RELEASE_MOST, RENT_MOST};
+
+/// One sort of machine that can be rented.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Offer {
+    pub kind: KindIx,
+    pub zone: ZoneIx,
+    pub spot: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Its record is being written.
+    Recording,
+    Ready,
+    Asked,
+    /// Answered: the record stays until the list shows the machines.
+    Rented {
+        at: Millis,
+    },
+}
+
+#[derive(Debug)]
+struct Booking {
+    offer: Offer,
+    count: u32,
+    stage: Stage,
+    tries: u32,
+    next: Millis,
+    asked_at: Millis,
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    token: Token,
+    budget: Budget,
+    bookings: BTreeMap<String, Booking>,
+    counter: u32,
+    asked: HashMap<AskId, (CloudRequest, Option<String>)>,
+    next_ask: u64,
+    /// Offers that were refused, and until when they are not tried.
+    refused: HashMap<Offer, Millis>,
+    listing: bool,
+    list_next: Millis,
+    list_after: Option<String>,
+    releasing: bool,
+    release_next: Millis,
+    catalog_next: Millis,
+    planned: Millis,
+    pub needed: HashSet<MachineIx>,
+}
+
+/// Refused offers rest so long.
+const REFUSED_MS: u64 = 15_000;
+const LIST_EVERY_MS: u64 = 4_000;
+const CATALOG_EVERY_MS: u64 = 60_000;
+const PLAN_EVERY_MS: u64 = 1_000;
+const CLOUD_TIMEOUT_MS: u64 = 5_000;
+/// Asks of the fleet are told apart from those of the ledger by this bit.
+const FLEET_ASK: u64 = 1 << 62;
+/// A rented machine is paid for at least that long.
+const PAID_MS: u64 = 60_000;
+/// A machine that takes so many times its usual boot time never comes up.
+const BOOT_PATIENCE: u64 = 4;
+
+impl Fleet {
+    pub fn new(rps: f64, token: Token, now: Millis) -> Fleet {
+        Fleet {
+            token,
+            budget: Budget::new(rps * 0.9, now),
+            bookings: BTreeMap::new(),
+            counter: 0,
+            asked: HashMap::new(),
+            next_ask: FLEET_ASK,
+            refused: HashMap::new(),
+            listing: false,
+            list_next: Millis::default(),
+            list_after: None,
+            releasing: false,
+            release_next: Millis::default(),
+            catalog_next: Millis::default(),
+            planned: Millis::default(),
+            needed: HashSet::new(),
+        }
+    }
+
+    /// Rentals of earlier leaders: the same request again tells which machines they got.
+    pub fn inherit_bookings(&mut self, mirror: &mut Mirror) {
+        let records: Vec<(String, BookingRecord)> =
+            mirror.bookings.iter().map(|(name, record)| (name.clone(), record.clone())).collect();
+        for (name, record) in records {
+            let offer = Offer {
+                kind: mirror.names.kinds.intern(&record.kind),
+                zone: mirror.names.zones.intern(&record.zone),
+                spot: record.spot,
+            };
+            let booking = Booking {
+                offer,
+                count: record.count,
+                stage: Stage::Ready,
+                tries: 0,
+                next: Millis::default(),
+                asked_at: Millis::default(),
+            };
+            self.bookings.insert(name, booking);
+        }
+    }
+
+    fn ask(&mut self, request: CloudRequest, booking: Option<String>, out: &mut Vec<Output>) {
+        self.next_ask += 1;
+        let ask = AskId(self.next_ask);
+        out.push(Output::Cloud { ask, request: request.clone(), timeout_ms: CLOUD_TIMEOUT_MS });
+        self.asked.insert(ask, (request, booking));
+    }
+
+    fn on_the_way(&self, offer: Offer) -> u32 {
+        let open =
+            |booking: &&Booking| booking.offer == offer && !matches!(booking.stage, Stage::Rented { .. });
+        self.bookings.values().filter(open).map(|booking| booking.count).sum()
+    }
+}
+
+impl Leader {
+    pub fn fleet_heard(&mut self, _ix: MachineIx, _clock: Clock) {
+        self.stirred = true;
+    }
+
+    /// Requests to the cloud that are due.
+    pub fn run_fleet(&mut self, clock: Clock, mirror: &Mirror, out: &mut Vec<Output>) {
+        self.rent(clock, mirror, out);
+        self.release(clock, out);
+        let fleet = &mut self.fleet;
+        if !fleet.listing && clock.now >= fleet.list_next && fleet.budget.take(clock.now, 1) {
+            fleet.listing = true;
+            let after = fleet.list_after.clone();
+            fleet.ask(CloudRequest::List { after }, None, out);
+        }
+        if clock.now >= fleet.catalog_next && fleet.budget.take(clock.now, 1) {
+            fleet.catalog_next = clock.now.plus(CATALOG_EVERY_MS);
+            fleet.ask(CloudRequest::Catalog, None, out);
+        }
+        if clock.now.since(self.fleet.planned) >= PLAN_EVERY_MS {
+            self.fleet.planned = clock.now;
+            self.plan_fleet(clock, mirror);
+            self.return_idle(clock);
+        }
+    }
+
+    fn rent(&mut self, clock: Clock, mirror: &Mirror, out: &mut Vec<Output>) {
+        let names: Vec<String> = self.fleet.bookings.keys().cloned().collect();
+        for name in names {
+            let durable = mirror.bookings.contains_key(&name);
+            let fleet = &mut self.fleet;
+            let Some(booking) = fleet.bookings.get_mut(&name) else {
+                continue;
+            };
+            if booking.stage == Stage::Recording && durable {
+                booking.stage = Stage::Ready;
+            }
+            if booking.stage != Stage::Ready || clock.now < booking.next {
+                continue;
+            }
+            if !fleet.budget.take(clock.now, 1) {
+                return;
+            }
+            booking.stage = Stage::Asked;
+            booking.tries += 1;
+            booking.asked_at = clock.now;
+            let request = CloudRequest::Rent {
+                booking: name.clone(),
+                kind: mirror.names.kinds.name_at(booking.offer.kind.at()).into(),
+                zone: mirror.names.zones.name_at(booking.offer.zone.at()).into(),
+                spot: booking.offer.spot,
+                count: booking.count,
+            };
+            fleet.ask(request, Some(name), out);
+        }
+    }
+
+    fn release(&mut self, clock: Clock, out: &mut Vec<Output>) {
+        if self.fleet.releasing || clock.now < self.fleet.release_next {
+            return;
+        }
+        let ready = |machine: &&super::Machine| machine.return_recorded && machine.life != Life::Gone;
+        let machines: Vec<String> =
+            self.machines.iter().filter(ready).take(RELEASE_MOST).map(|m| m.name.clone()).collect();
+        if machines.is_empty() || !self.fleet.budget.take(clock.now, 1) {
+            return;
+        }
+        self.fleet.releasing = true;
+        log::info!("returning {}", machines.join(" "));
+        self.fleet.ask(CloudRequest::Release { machines }, None, out);
+    }
+
+    pub fn owns_ask(&self, ask: AskId) -> bool {
+        self.fleet.asked.contains_key(&ask)
+    }
+
+    pub fn cloud_answered(&mut self, clock: Clock, ask: AskId, outcome: &Outcome, mirror: &mut Mirror) {
+        let Some((request, booking)) = self.fleet.asked.remove(&ask) else {
+            return;
+        };
+        let reply = request.read_reply(outcome);
+        match reply {
+            CloudReply::Refused { .. } => self.fleet.budget.refused(clock.now),
+            CloudReply::Unknown => {}
+            _ => self.fleet.budget.served(),
+        }
+        match request {
+            CloudRequest::Catalog => self.catalog_answered(clock, reply, mirror),
+            CloudRequest::List { .. } => self.list_answered(clock, reply, mirror),
+            CloudRequest::Release { machines } => self.release_answered(clock, &machines, &reply),
+            CloudRequest::Rent { .. } => {
+                if let Some(name) = booking {
+                    self.rent_answered(clock, &name, reply, mirror);
+                }
+            }
+        }
+    }
+
+    fn catalog_answered(&mut self, clock: Clock, reply: CloudReply, mirror: &mut Mirror) {
+        let CloudReply::Catalog(entries) = reply else {
+            self.fleet.catalog_next = clock.now.plus(2_000);
+            return;
+        };
+        for entry in entries {
+            let key = Key::Kind(entry.name.clone());
+            let recorded = mirror.stamp(&key.text()).0 > 0 || self.writer.waits_for(&key);
+            let known = mirror.kinds.get(&entry.name).is_some_and(|known| {
+                known.cpus == entry.cpus
+                    && known.gpus == entry.gpus
+                    && known.memory_gb == entry.memory_gb
+                    && known.zones == entry.zones
+            });
+            if !known || !recorded {
+                self.writer.kind(&entry);
+            }
+            // Prices move and are only used here; they need no write.
+            mirror.kinds.insert(entry.name.clone(), entry);
+        }
+        self.learn_kinds(mirror);
+    }
+
+    fn list_answered(&mut self, clock: Clock, reply: CloudReply, mirror: &mut Mirror) {
+        self.fleet.listing = false;
+        let CloudReply::List { machines, more } = reply else {
+            self.fleet.list_next = clock.now.plus(LIST_EVERY_MS);
+            return;
+        };
+        self.fleet.list_after = machines.last().filter(|_| more).map(|machine| machine.name.clone());
+        self.fleet.list_next = if more { clock.now } else { clock.now.plus(LIST_EVERY_MS) };
+        for listed in &machines {
+            self.listed(clock, listed, mirror);
+        }
+    }
+
+    fn listed(&mut self, clock: Clock, listed: &Listed, mirror: &mut Mirror) {
+        let kind = mirror.names.kinds.intern(&listed.kind);
+        let zone = mirror.names.zones.intern(&listed.zone);
+        let known = self.by_name.contains_key(&listed.name);
+        if !known && listed.state == ListedState::Failed {
+            return;
+        }
+        let ix = self.add_machine(&listed.name, &listed.endpoint, kind, zone, listed.spot, clock);
+        let rented = clock.now.minus(listed.age_ms);
+        let machine = &mut self.machines[ix.at()];
+        machine.since = machine.since.min(rented);
+        if machine.endpoint.is_empty() {
+            machine.endpoint.clone_from(&listed.endpoint);
+        }
+        if listed.state == ListedState::Failed && machine.life != Life::Gone && !machine.returning {
+            // It stopped by itself: nothing runs there. It stays in the list until it is deleted.
+            log::info!("machine {} failed", machine.name);
+            machine.returning = true;
+            machine.life = Life::Silent;
+            self.clear_machine(ix, clock);
+            self.spread_queues(ix);
+            self.writer.urgent(ix);
+        }
+    }
+
+    fn release_answered(&mut self, clock: Clock, machines: &[String], reply: &CloudReply) {
+        self.fleet.releasing = false;
+        if *reply != CloudReply::Released {
+            self.fleet.release_next = clock.now.plus(1_000);
+            return;
+        }
+        for name in machines {
+            let Some(ix) = self.by_name.get(name).copied() else {
+                continue;
+            };
+            self.machines[ix.at()].life = Life::Gone;
+            self.clear_machine(ix, clock);
+            self.spread_queues(ix);
+            self.writer.urgent(ix);
+        }
+    }
+
+    fn rent_answered(&mut self, clock: Clock, name: &str, reply: CloudReply, mirror: &mut Mirror) {
+        let Some(booking) = self.fleet.bookings.get_mut(name) else {
+            return;
+        };
+        let offer = booking.offer;
+        match reply {
+            CloudReply::Rented(machines) => {
+                let asked_at = booking.asked_at;
+                booking.stage = Stage::Rented { at: clock.now };
+                if (machines.len() as u32) < booking.count {
+                    self.fleet.refused.insert(offer, clock.now.plus(REFUSED_MS));
+                }
+                log::info!("rented {} for {name}", machines.join(" "));
+                for machine in &machines {
+                    let ix = self.add_machine(machine, "", offer.kind, offer.zone, offer.spot, clock);
+                    self.machines[ix.at()].since = asked_at;
+                }
+                let _ = mirror;
+            }
+            CloudReply::NoCapacity => {
+                self.fleet.bookings.remove(name);
+                self.fleet.refused.insert(offer, clock.now.plus(REFUSED_MS));
+                self.writer.other(Key::Booking(name.into()), None);
+            }
+            // The same name again: it gives the same machines, or is carried out now.
+            _ => {
+                booking.stage = Stage::Ready;
+                booking.next = clock.now.plus(500 * u64::from(booking.tries.min(8)));
+            }
+        }
+    }
+
+    /// How many machines of which sort the waiting work needs beyond those there.
+    fn plan_fleet(&mut self, clock: Clock, mirror: &Mirror) {
+        self.forget_bookings(clock);
+        if self.kinds.is_empty() {
+            return;
+        }
+        let mut plan = Plan::new(self, clock);
+        let mut jobs: Vec<(JobIx, &Work)> = self.work.iter().map(|(ix, work)| (*ix, work)).collect();
+        jobs.sort_by_key(|(_, work)| (!work.info.together(), work.info.urgency, work.info.seq));
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        for (ix, work) in jobs {
+            if work.info.together() {
+                plan.gang(self, ix, work, clock, &mut wanted);
+            } else {
+                plan.array(self, work, clock, &mut wanted);
+            }
+        }
+        self.fleet.needed = plan.used;
+        for (offer, count) in wanted {
+            let open = self.fleet.on_the_way(offer);
+            if count > open {
+                self.book(offer, (count - open).min(RENT_MOST), mirror);
+            }
+        }
+    }
+
+    fn forget_bookings(&mut self, clock: Clock) {
+        let shown = 3 * self.settings.list_lag_ms;
+        let old =
+            |booking: &Booking| matches!(booking.stage, Stage::Rented { at } if clock.now.since(at) > shown);
+        let names: Vec<String> = self
+            .fleet
+            .bookings
+            .iter()
+            .filter(|(_, booking)| old(booking))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            self.fleet.bookings.remove(&name);
+            self.writer.other(Key::Booking(name), None);
+        }
+    }
+
+    fn book(&mut self, offer: Offer, count: u32, mirror: &Mirror) {
+        self.fleet.counter += 1;
+        // The token makes the name this leader's own: no other can ever use it again.
+        let name = format!("r-{}-{}", self.fleet.token.0, self.fleet.counter);
+        let record = BookingRecord {
+            kind: mirror.names.kinds.name_at(offer.kind.at()).into(),
+            zone: mirror.names.zones.name_at(offer.zone.at()).into(),
+            spot: offer.spot,
+            count,
+        };
+        log::info!("renting {count} {} in {} (spot {})", record.kind, record.zone, record.spot);
+        let value = serde_json::to_string(&record).unwrap_or_default();
+        self.writer.other(Key::Booking(name.clone()), Some(value));
+        let booking = Booking {
+            offer,
+            count,
+            stage: Stage::Recording,
+            tries: 0,
+            next: Millis::default(),
+            asked_at: Millis::default(),
+        };
+        self.fleet.bookings.insert(name, booking);
+    }
+
+    /// Machines that nobody needs, that never came up or that went silent are returned.
+    fn return_idle(&mut self, clock: Clock) {
+        let idle_ms = (self.tunables.idle_s * 1000.0) as u64;
+        for at in 0..self.machines.len() {
+            let ix = MachineIx(at as u32);
+            let machine = &self.machines[at];
+            if machine.returning || machine.life == Life::Gone || !machine.bindings.is_empty() {
+                continue;
+            }
+            let age = clock.now.since(machine.since);
+            let boot = self.kinds.get(&machine.kind).map_or(60_000, |kind| kind.boot_ms);
+            let idle = clock.now.since(machine.idle_since);
+            let why = match machine.life {
+                Life::Booting if age > boot * BOOT_PATIENCE + 10_000 => "never came up",
+                Life::Silent if idle > 20_000 => "silent",
+                Life::Up if machine.sick => "sick",
+                Life::Up
+                    if idle >= idle_ms
+                        && age >= PAID_MS
+                        && machine.held_for.is_none()
+                        && !self.fleet.needed.contains(&ix) =>
+                {
+                    "idle"
+                }
+                _ => continue,
+            };
+            log::info!("machine {} goes back: {why}", machine.name);
+            self.machines[at].returning = true;
+            self.spread_queues(ix);
+            self.writer.urgent(ix);
+        }
+    }
+
+    fn best_offer(&self, work: &Work, clock: Clock) -> Option<Offer> {
+        let mut best: Option<(f64, Offer)> = None;
+        for (kind_ix, kind) in &self.kinds {
+            let slots = work.info.need.count_in(&kind.size).min(1_000_000);
+            if slots == 0 || !work.info.allows_kind(*kind_ix) {
+                continue;
+            }
+            let slots = if work.info.together() { slots.min(u64::from(work.info.tasks)) } else { slots };
+            for zone in &kind.zones {
+                for spot in [false, true] {
+                    let offer = Offer { kind: *kind_ix, zone: *zone, spot };
+                    let rests = self.fleet.refused.get(&offer).is_some_and(|until| clock.now < *until);
+                    if rests || !work.info.allows(*kind_ix, *zone, spot) {
+                        continue;
+                    }
+                    let price = match (spot, kind.spot_price) {
+                        (false, _) => kind.price,
+                        (true, Some(price)) => price,
+                        (true, None) => continue,
+                    };
+                    // Offers already asked for come later, so that zones take turns.
+                    let cost = price / slots as f64 * (1.0 + 0.01 * f64::from(self.fleet.on_the_way(offer)));
+                    if best.is_none_or(|(least, _)| cost < least) {
+                        best = Some((cost, offer));
+                    }
+                }
+            }
+        }
+        best.map(|(_, offer)| offer)
+    }
+}
+
+/// What the machines there, and those on their way, can still do within the drain time:
+/// CPU milliseconds for arrays, whole machines for gangs.
+struct Plan {
+    work: HashMap<MachineIx, u64>,
+    used: HashSet<MachineIx>,
+    taken: HashSet<MachineIx>,
+    booked: BTreeMap<Offer, u32>,
+    drain_ms: u64,
+}
+
+impl Plan {
+    fn new(leader: &Leader, clock: Clock) -> Plan {
+        let drain_ms = (leader.tunables.drain_s * 1000.0) as u64;
+        let mut work = HashMap::new();
+        for (at, machine) in leader.machines.iter().enumerate() {
+            let ix = MachineIx(at as u32);
+            let usable = match machine.life {
+                Life::Up => machine.open(),
+                Life::Booting => !machine.returning,
+                Life::Silent | Life::Gone => false,
+            };
+            if !usable {
+                continue;
+            }
+            let left: u64 = machine.bindings.iter().map(|binding| leader.left_cpu_ms(binding, clock)).sum();
+            work.insert(ix, (machine.size.cpu * drain_ms / 1000).saturating_sub(left));
+        }
+        let mut booked: BTreeMap<Offer, u32> = BTreeMap::new();
+        for booking in leader.fleet.bookings.values() {
+            if !matches!(booking.stage, Stage::Rented { .. }) {
+                *booked.entry(booking.offer).or_default() += booking.count;
+            }
+        }
+        Plan { work, used: HashSet::new(), taken: HashSet::new(), booked, drain_ms }
+    }
+
+    fn gang(
+        &mut self,
+        leader: &Leader,
+        ix: JobIx,
+        work: &Work,
+        clock: Clock,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) {
+        if !leader.gangs.contains(&super::queues::Rank::of(ix, &work.info)) {
+            return;
+        }
+        let mut missing = u64::from(work.left()).saturating_sub(work.out.len() as u64);
+        for (at, machine) in leader.machines.iter().enumerate() {
+            let at = MachineIx(at as u32);
+            if missing == 0 || self.taken.contains(&at) || !self.work.contains_key(&at) {
+                continue;
+            }
+            let held = machine.held_for.is_some_and(|(job, _)| job == ix);
+            let free = if held { machine.size } else { machine.free() };
+            let slots = work.info.need.count_in(&free);
+            if slots > 0 && work.info.allows(machine.kind, machine.zone, machine.spot) {
+                missing = missing.saturating_sub(slots);
+                self.taken.insert(at);
+                self.used.insert(at);
+                self.work.insert(at, 0);
+            }
+        }
+        self.use_bookings(leader, work, &mut missing, wanted);
+        while missing > 0 {
+            let Some(offer) = leader.best_offer(work, clock) else {
+                return;
+            };
+            let Some(kind) = leader.kinds.get(&offer.kind) else {
+                return;
+            };
+            let slots = work.info.need.count_in(&kind.size).max(1);
+            missing = missing.saturating_sub(slots);
+            *wanted.entry(offer).or_default() += 1;
+        }
+    }
+
+    /// Machines asked for already count as coming.
+    fn use_bookings(
+        &mut self,
+        leader: &Leader,
+        work: &Work,
+        missing: &mut u64,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) {
+        for (offer, count) in &mut self.booked {
+            let Some(kind) = leader.kinds.get(&offer.kind) else {
+                continue;
+            };
+            let slots = work.info.need.count_in(&kind.size);
+            if slots == 0 || !work.info.allows(offer.kind, offer.zone, offer.spot) {
+                continue;
+            }
+            while *missing > 0 && *count > 0 {
+                *count -= 1;
+                *missing = missing.saturating_sub(slots);
+                *wanted.entry(*offer).or_default() += 1;
+            }
+        }
+    }
+
+    fn array(&mut self, leader: &Leader, work: &Work, clock: Clock, wanted: &mut BTreeMap<Offer, u32>) {
+        let waiting = u64::from(work.left()).saturating_sub(work.out.len() as u64);
+        if waiting == 0 {
+            return;
+        }
+        let cpu = work.info.need.cpu.max(1);
+        let each = cpu * work.length_ms().max(1) / 1000;
+        let mut left = waiting * each;
+        for (at, machine) in leader.machines.iter().enumerate() {
+            let ix = MachineIx(at as u32);
+            let Some(room) = self.work.get_mut(&ix) else {
+                continue;
+            };
+            let fits = work.info.need.fits(&machine.size);
+            if left == 0 || *room == 0 || !fits || !work.info.allows(machine.kind, machine.zone, machine.spot)
+            {
+                continue;
+            }
+            let part = left.min(*room);
+            *room -= part;
+            left -= part;
+            self.used.insert(ix);
+        }
+        let mut machines = 0;
+        for (offer, count) in &mut self.booked {
+            let Some(kind) = leader.kinds.get(&offer.kind) else {
+                continue;
+            };
+            if !work.info.need.fits(&kind.size) || !work.info.allows(offer.kind, offer.zone, offer.spot) {
+                continue;
+            }
+            while left > 0 && *count > 0 {
+                *count -= 1;
+                left = left.saturating_sub(kind.size.cpu * self.drain_ms / 1000);
+                *wanted.entry(*offer).or_default() += 1;
+            }
+        }
+        while left > 0 && machines < 50 {
+            let Some(offer) = leader.best_offer(work, clock) else {
+                return;
+            };
+            let Some(kind) = leader.kinds.get(&offer.kind) else {
+                return;
+            };
+            let does = (kind.size.cpu * self.drain_ms / 1000).max(1);
+            // What is left over of the last machine serves the next job.
+            left = left.saturating_sub(does);
+            machines += 1;
+            *wanted.entry(offer).or_default() += 1;
+        }
+    }
+}
+
+impl Leader {
+    /// CPU milliseconds that a task still needs, as far as can be told.
+    fn left_cpu_ms(&self, binding: &super::Binding, clock: Clock) -> u64 {
+        let Some(work) = binding.job.and_then(|job| self.work.get(&job)) else {
+            return 0;
+        };
+        let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
+        binding.need.cpu * work.length_ms().saturating_sub(ran).max(1000) / 1000
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/gangs.rs
@@ -0,0 +1,256 @@
+//! Gangs and services: placed first, all or nothing; room is made by urgency.
+
+use std::collections::HashMap;
+
+use super::queues::Rank;
+use super::{Binding, Leader, Run, Work};
+use crate::bookkeeping::ids::{Amount, JobIx, MachineIx, ZoneIx};
+use crate::coordination::Clock;
+use crate::protocol::users::{Shape, Urgency};
+
+/// Added to the grace of a halt, so that a save has time to end.
+const GRACE_MS: u64 = 2000;
+
+impl Leader {
+    pub fn place_gangs(&mut self, clock: Clock) {
+        let ranks: Vec<Rank> = self.gangs.iter().copied().collect();
+        for rank in ranks {
+            let Some(work) = self.work.get(&rank.job) else {
+                self.gangs.remove(&rank);
+                continue;
+            };
+            let tasks = missing(work);
+            if tasks.is_empty() {
+                self.gangs.remove(&rank);
+                continue;
+            }
+            // A gang's old attempt must be gone before the next is placed.
+            let old = work.info.shape == Shape::Gang && !work.out.is_empty();
+            let all = work.info.need.times(tasks.len() as u64);
+            if old || !self.within_quota(work.info.team, &all) {
+                continue;
+            }
+            match self.slots(rank.job, tasks.len(), false) {
+                Some(machines) => self.start_gang(rank, &tasks, &machines),
+                None => self.make_room(rank, tasks.len(), clock),
+            }
+        }
+    }
+
+    fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[MachineIx]) {
+        let attempt = self.next_attempt();
+        for (task, ix) in tasks.iter().zip(machines) {
+            self.bind(*ix, rank.job, *task, attempt);
+        }
+        for machine in &mut self.machines {
+            if machine.held_for.is_some_and(|(job, _)| job == rank.job) {
+                machine.held_for = None;
+            }
+        }
+        self.gangs.remove(&rank);
+    }
+
+    /// A machine for each of `count` tasks, or None. With `after_halts`, room that
+    /// would come from stopping less urgent work counts too.
+    fn slots(&self, job: JobIx, count: usize, after_halts: bool) -> Option<Vec<MachineIx>> {
+        let work = self.work.get(&job)?;
+        let zones: Vec<Option<ZoneIx>> = if work.info.one_zone {
+            let mut zones: Vec<ZoneIx> = self.machines.iter().map(|machine| machine.zone).collect();
+            zones.sort();
+            zones.dedup();
+            zones.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        zones.into_iter().find_map(|zone| self.slots_in(job, work, count, zone, after_halts))
+    }
+
+    fn slots_in(
+        &self,
+        job: JobIx,
+        work: &Work,
+        count: usize,
+        zone: Option<ZoneIx>,
+        after_halts: bool,
+    ) -> Option<Vec<MachineIx>> {
+        let mut candidates: Vec<(u64, bool, u64, MachineIx)> = Vec::new();
+        for at in 0..self.machines.len() {
+            let ix = MachineIx(at as u32);
+            let machine = &self.machines[at];
+            let held = machine.held_for.is_some_and(|(holder, _)| holder != job);
+            let here = zone.is_none_or(|zone| zone == machine.zone);
+            if held || !here || !self.suits(ix, work) || !self.zone_allows(ix, work) {
+                continue;
+            }
+            let (room, loss) =
+                if after_halts { self.room_after_halts(ix, work) } else { (machine.free(), 0) };
+            let slots = work.info.need.count_in(&room).min(self.most_tasks as u64);
+            if slots > 0 {
+                candidates.push((loss, !machine.has_image(work.info.image), slots, ix));
+            }
+        }
+        candidates.sort();
+        let cap = if work.info.spread { work.info.tasks.div_ceil(2) } else { u32::MAX };
+        let mut in_zone: HashMap<ZoneIx, u32> = work.zones.clone();
+        let mut chosen = Vec::new();
+        for (_, _, slots, ix) in candidates {
+            let used = in_zone.entry(self.machines[ix.at()].zone).or_default();
+            let take = slots.min(u64::from(cap.saturating_sub(*used))).min((count - chosen.len()) as u64);
+            *used += take as u32;
+            chosen.extend(std::iter::repeat_n(ix, take as usize));
+        }
+        (chosen.len() == count).then_some(chosen)
+    }
+
+    /// Room on a machine once less urgent tasks have stopped, and what stopping them loses
+    /// (CPU milliseconds of work that was not saved).
+    fn room_after_halts(&self, ix: MachineIx, work: &Work) -> (Amount, u64) {
+        let machine = &self.machines[ix.at()];
+        let mut room = machine.free();
+        let mut loss = 0;
+        for binding in &machine.bindings {
+            if binding.halt.is_some() {
+                room.add(&binding.need);
+            } else if let Some(lost) = self.loss(binding, work.info.urgency) {
+                room.add(&binding.need);
+                loss += lost;
+            }
+        }
+        (room, loss)
+    }
+
+    /// None if the task must not be stopped for work of that urgency.
+    fn loss(&self, binding: &Binding, urgency: Urgency) -> Option<u64> {
+        let victim = self.work.get(&binding.job?)?;
+        if victim.info.urgency <= urgency {
+            return None;
+        }
+        Some(binding.need.cpu / 1000 + 1)
+    }
+
+    /// Holds machines for a gang and stops less urgent tasks on them.
+    fn make_room(&mut self, rank: Rank, count: usize, clock: Clock) {
+        let held = |leader: &Leader| {
+            leader.machines.iter().any(|machine| machine.held_for.is_some_and(|(job, _)| job == rank.job))
+        };
+        if held(self) {
+            return;
+        }
+        let Some(machines) = self.slots(rank.job, count, true) else {
+            return;
+        };
+        let Some(work) = self.work.get(&rank.job) else {
+            return;
+        };
+        let (need, urgency) = (work.info.need, work.info.urgency);
+        let until = clock.now.plus((self.tunables.hold_s * 1000.0) as u64);
+        let mut wanted: HashMap<MachineIx, u64> = HashMap::new();
+        for ix in machines {
+            *wanted.entry(ix).or_default() += 1;
+        }
+        let mut wanted: Vec<(MachineIx, u64)> = wanted.into_iter().collect();
+        wanted.sort();
+        for (ix, tasks) in wanted {
+            self.machines[ix.at()].held_for = Some((rank.job, until));
+            self.halt_for(ix, &need.times(tasks), urgency, clock);
+        }
+    }
+
+    fn halt_for(&mut self, ix: MachineIx, need: &Amount, urgency: Urgency, clock: Clock) {
+        let machine = &self.machines[ix.at()];
+        let mut room = machine.free();
+        let mut victims: Vec<(u64, usize)> = Vec::new();
+        for (at, binding) in machine.bindings.iter().enumerate() {
+            if binding.halt.is_some() {
+                room.add(&binding.need);
+            } else if self.loss(binding, urgency).is_some() {
+                // Least progress first.
+                let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
+                victims.push((ran, at));
+            }
+        }
+        victims.sort();
+        for (_, at) in victims {
+            if need.fits(&room) {
+                break;
+            }
+            room.add(&self.machines[ix.at()].bindings[at].need);
+            self.halt(ix, at);
+            self.counters.preempted += 1;
+        }
+        self.drop_unsent(ix, clock);
+    }
+
+    /// Stops one task; one that saves gets the time for it. A gang stops as a whole.
+    pub fn halt(&mut self, ix: MachineIx, at: usize) {
+        let Some(job) = self.machines[ix.at()].bindings[at].job else {
+            return;
+        };
+        let Some(work) = self.work.get(&job) else {
+            return;
+        };
+        let grace = if work.info.checkpoint_ms > 0 { work.info.save_ms + GRACE_MS } else { 0 };
+        if work.info.shape != Shape::Gang {
+            self.machines[ix.at()].bindings[at].halt.get_or_insert(grace);
+            self.to_tell.insert(ix);
+            return;
+        }
+        let places: Vec<MachineIx> = work.out.values().map(|(ix, _)| *ix).collect();
+        for ix in places {
+            for binding in &mut self.machines[ix.at()].bindings {
+                if binding.job == Some(job) {
+                    binding.halt.get_or_insert(grace);
+                }
+            }
+            self.to_tell.insert(ix);
+        }
+    }
+
+    /// A member left a gang that is not done: the others are of no use any more.
+    pub fn gang_member_left(&mut self, gone: &Binding) {
+        let Some(job) = gone.job else { return };
+        let Some(work) = self.work.get(&job) else {
+            return;
+        };
+        if work.info.shape != Shape::Gang || work.done.full() {
+            return;
+        }
+        let places: Vec<MachineIx> = work.out.values().map(|(ix, _)| *ix).collect();
+        for ix in places {
+            for binding in &mut self.machines[ix.at()].bindings {
+                if binding.job == Some(job) && binding.halt.is_none() {
+                    binding.halt = Some(0);
+                }
+            }
+            self.to_tell.insert(ix);
+        }
+    }
+
+    pub fn release_holds(&mut self, clock: Clock) {
+        for machine in &mut self.machines {
+            if machine.held_for.is_some_and(|(_, until)| until <= clock.now) {
+                machine.held_for = None;
+            }
+        }
+    }
+
+    /// The machine is taken back soon: what can be saved is saved.
+    pub fn on_notice(&mut self, ix: MachineIx, notice_ms: u64) {
+        for at in 0..self.machines[ix.at()].bindings.len() {
+            let binding = &self.machines[ix.at()].bindings[at];
+            let saves = binding
+                .job
+                .and_then(|job| self.work.get(&job))
+                .is_some_and(|work| work.info.checkpoint_ms > 0 && work.info.save_ms + GRACE_MS <= notice_ms);
+            let unsent = matches!(binding.run, Run::Planned | Run::Recorded);
+            if saves || unsent {
+                self.halt(ix, at);
+            }
+        }
+        self.spread_queues(ix);
+    }
+}
+
+fn missing(work: &Work) -> Vec<u32> {
+    work.done.missing().filter(|task| !work.out.contains_key(task)).collect()
+}
--- /dev/null
+++ b/src/coordination/leader/mod.rs
@@ -0,0 +1,700 @@
+//! What only the leader knows and does: all machine queues, placement, the
+//! fleet, and the records that make it safe.
+
+pub mod dispatch;
+pub mod fleet;
+pub mod gangs;
+pub mod orders;
+pub mod queues;
+pub mod reports;
+pub mod writer;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::Clock;
+use crate::bookkeeping::bits::Bits;
+use crate::bookkeeping::ids::{
+    Amount, Attempt, ImageIx, JobId, JobIx, KindIx, MachineIx, Millis, Session, TaskRef, TeamIx, Token,
+    ZoneIx, milli_down,
+};
+use crate::bookkeeping::jobs::JobInfo;
+use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::records::MachineRecord;
+use crate::protocol::workers::TaskState;
+use crate::settings::{Settings, Team};
+use crate::tunables::Tunables;
+use fleet::Fleet;
+use queues::Queue;
+use writer::Writer;
+
+/// How far the run command of a task has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Run {
+    /// Not yet in the machine's record: must not be sent.
+    Planned,
+    /// In the record, not sent (or certainly not carried out).
+    Recorded,
+    /// Sent with the response to this report.
+    Answered { tick: u64 },
+    /// Sent straight to the worker, outcome open.
+    Direct,
+    /// The worker has shown it.
+    Seen,
+    /// From another leader's record: may be there or not.
+    Inherited,
+}
+
+/// A task that may be on a machine.
+#[derive(Debug, Clone)]
+pub struct Binding {
+    pub task: TaskRef,
+    /// None once the job has ended.
+    pub job: Option<JobIx>,
+    pub attempt: Attempt,
+    pub need: Amount,
+    pub team: Option<TeamIx>,
+    pub run: Run,
+    pub session: Session,
+    pub state: Option<TaskState>,
+    /// A direct command without an answer may still arrive.
+    pub late: bool,
+    pub running_since: Option<Millis>,
+    /// Stop it, with this grace.
+    pub halt: Option<u64>,
+    pub halt_sent: Option<Millis>,
+    /// For a withdrawn job: when its worker must no longer be kept alive.
+    pub gone_by: Option<Millis>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// Rented, not yet heard of.
+    Booting,
+    Up,
+    /// Its worker's lease has run out; it may come back with a new session.
+    Silent,
+    /// Returned or taken: nothing is on it.
+    Gone,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub endpoint: String,
+    pub kind: KindIx,
+    pub zone: ZoneIx,
+    pub spot: bool,
+    pub life: Life,
+    /// When it was rented, as far as known.
+    pub since: Millis,
+    pub session: Session,
+    pub tick: u64,
+    /// It has shown our token: no other leader's command can reach it any more.
+    pub confirmed: bool,
+    /// When the last report that was answered came in.
+    pub answered: Option<Millis>,
+    pub notice_until: Option<Millis>,
+    pub returning: bool,
+    pub return_recorded: bool,
+    pub bindings: Vec<Binding>,
+    pub used: Amount,
+    pub size: Amount,
+    pub shared: Queue,
+    pub dedicated: Queue,
+    pub steal_wait_ms: f64,
+    pub next_steal: Millis,
+    pub steal_paused: bool,
+    pub held_for: Option<(JobIx, Millis)>,
+    /// Images it should have, most recently used last, with their size.
+    pub images: Vec<(ImageIx, u64)>,
+    pub direct_open: bool,
+    pub direct_after: Millis,
+    pub late: HashSet<(TaskRef, Attempt)>,
+    pub idle_since: Millis,
+    pub errors: BTreeSet<JobId>,
+    pub sick: bool,
+    /// Times of the tasks it finished within the last minute.
+    pub finishes: Vec<Millis>,
+}
+
+impl Machine {
+    pub fn free(&self) -> Amount {
+        self.size.less(&self.used)
+    }
+
+    /// It may get more tasks.
+    pub fn open(&self) -> bool {
+        self.life == Life::Up
+            && self.confirmed
+            && !self.returning
+            && !self.sick
+            && self.notice_until.is_none()
+    }
+
+    pub fn has_image(&self, image: ImageIx) -> bool {
+        self.images.iter().any(|(held, _)| *held == image)
+    }
+}
+
+/// What is known of a job's tasks beyond the durable records.
+#[derive(Debug)]
+pub struct Work {
+    pub info: Arc<JobInfo>,
+    /// Finished tasks, those included that are not durable yet.
+    pub done: Bits,
+    /// Where each unfinished task may be.
+    pub out: HashMap<u32, (MachineIx, Attempt)>,
+    pub zones: HashMap<ZoneIx, u32>,
+    /// Run times of finished tasks.
+    pub runs: u32,
+    pub run_ms: u64,
+    /// Machines on which its tasks failed, since one last succeeded.
+    pub failed_on: HashSet<MachineIx>,
+    pub queued: u32,
+    pub ending: bool,
+}
+
+impl Work {
+    /// Expected run time of a task: the mean of those finished, else the owner's estimate.
+    pub fn length_ms(&self) -> u64 {
+        if self.runs > 0 { self.run_ms / u64::from(self.runs) } else { self.info.guess_ms.max(1000) }
+    }
+
+    pub fn left(&self) -> u32 {
+        self.info.tasks - self.done.count()
+    }
+}
+
+/// A machine type as used here.
+#[derive(Debug, Clone)]
+pub struct Kind {
+    pub name: String,
+    pub size: Amount,
+    pub cache_mb: u64,
+    pub fetch_mb_per_s: f64,
+    pub price: f64,
+    pub spot_price: Option<f64>,
+    pub boot_ms: u64,
+    pub zones: Vec<ZoneIx>,
+}
+
+#[derive(Debug, Default)]
+pub struct Counters {
+    pub to_shared: u64,
+    pub to_dedicated: u64,
+    pub steals: u64,
+    pub stolen: u64,
+    pub spilled: u64,
+    pub preempted: u64,
+    pub lost_machines: u64,
+}
+
+#[derive(Debug)]
+pub struct Leader {
+    pub token: Token,
+    pub acquired: Millis,
+    /// Until then a deposed leader may have kept workers alive.
+    inherited_until: Millis,
+    attempts: u64,
+    pub machines: Vec<Machine>,
+    pub by_name: HashMap<String, MachineIx>,
+    pub work: BTreeMap<JobIx, Work>,
+    pub usage: HashMap<TeamIx, Amount>,
+    teams: HashMap<TeamIx, Team>,
+    pub kinds: BTreeMap<KindIx, Kind>,
+    /// Ready tasks that no present machine may take.
+    pub backlog: Queue,
+    /// Tasks that wait before they are tried again.
+    delayed: BTreeMap<Millis, Vec<(JobIx, u32)>>,
+    /// Gangs and services with tasks to place.
+    pub gangs: BTreeSet<queues::Rank>,
+    pub writer: Writer,
+    pub fleet: Fleet,
+    pub counters: Counters,
+    pub settings: Arc<Settings>,
+    pub tunables: Arc<Tunables>,
+    most_tasks: usize,
+    rng: SmallRng,
+    /// Something changed that placement should look at.
+    pub stirred: bool,
+    /// Machines that should hear from us without waiting for their report.
+    pub to_tell: BTreeSet<MachineIx>,
+}
+
+/// Room for attempts within one leadership; the token in front keeps them rising over all.
+const ATTEMPTS_BITS: u32 = 24;
+
+impl Leader {
+    /// Rebuilds everything from the records; the mirror holds all of them up to the token.
+    pub fn new(
+        token: Token,
+        hold_ms: u64,
+        seed: u64,
+        mirror: &mut Mirror,
+        settings: &Arc<Settings>,
+        tunables: &Arc<Tunables>,
+        clock: Clock,
+    ) -> Leader {
+        let grace = hold_ms + settings.workers.lease_ms;
+        let slack = (grace as f64 * super::leadership::DRIFT) as u64 + 4 * super::leadership::MARGIN_MS;
+        let mut leader = Leader {
+            token,
+            acquired: clock.now,
+            inherited_until: clock.now.plus(grace + slack),
+            attempts: 0,
+            machines: Vec::new(),
+            by_name: HashMap::new(),
+            work: BTreeMap::new(),
+            usage: HashMap::new(),
+            teams: HashMap::new(),
+            kinds: BTreeMap::new(),
+            backlog: Queue::default(),
+            delayed: BTreeMap::new(),
+            gangs: BTreeSet::new(),
+            writer: Writer::default(),
+            fleet: Fleet::new(settings.cloud_rps, token, clock.now),
+            counters: Counters::default(),
+            settings: settings.clone(),
+            tunables: tunables.clone(),
+            most_tasks: MachineRecord::most_tasks(settings.state_limits.value_kb),
+            rng: SmallRng::seed_from_u64(seed),
+            stirred: true,
+            to_tell: BTreeSet::new(),
+        };
+        for team in &settings.teams {
+            leader.teams.insert(mirror.names.teams.intern(&team.name), team.clone());
+        }
+        leader.learn_kinds(mirror);
+        leader.inherit_machines(mirror, clock);
+        leader.fleet.inherit_bookings(mirror);
+        leader.inherit_jobs(mirror, clock);
+        leader
+    }
+
+    pub fn next_attempt(&mut self) -> Attempt {
+        self.attempts += 1;
+        Attempt((self.token.0 << ATTEMPTS_BITS) + self.attempts)
+    }
+
+    pub fn learn_kinds(&mut self, mirror: &mut Mirror) {
+        for entry in mirror.kinds.values() {
+            let ix = mirror.names.kinds.intern(&entry.name);
+            let zones = entry.zones.iter().map(|zone| mirror.names.zones.intern(zone)).collect();
+            let published = entry.fetch_gb_per_s * 1000.0;
+            let rate = if published > 0.0 { published } else { self.tunables.fetch_gb_per_s * 1000.0 };
+            self.kinds.insert(
+                ix,
+                Kind {
+                    name: entry.name.clone(),
+                    size: Amount {
+                        cpu: milli_down(entry.cpus),
+                        gpu: milli_down(entry.gpus),
+                        mem: milli_down(entry.memory_gb),
+                    },
+                    cache_mb: milli_down(entry.cache_gb),
+                    fetch_mb_per_s: rate,
+                    price: entry.price,
+                    spot_price: entry.spot_price,
+                    boot_ms: (entry.boot_s * 1000.0) as u64,
+                    zones,
+                },
+            );
+        }
+        for machine in &mut self.machines {
+            if let Some(kind) = self.kinds.get(&machine.kind) {
+                machine.size = kind.size;
+            }
+        }
+        self.stirred = true;
+    }
+
+    fn inherit_machines(&mut self, mirror: &mut Mirror, clock: Clock) {
+        let records: Vec<(String, MachineRecord)> =
+            mirror.machines.iter().map(|(name, record)| (name.clone(), record.clone())).collect();
+        for (name, record) in records {
+            let kind = mirror.names.kinds.intern(&record.kind);
+            let zone = mirror.names.zones.intern(&record.zone);
+            let ix = self.add_machine(&name, &record.endpoint, kind, zone, record.spot, clock);
+            let machine = &mut self.machines[ix.at()];
+            machine.life = Life::Up;
+            machine.returning = record.returning;
+            machine.return_recorded = record.returning;
+            for (task, attempt) in record.tasks() {
+                self.inherit_binding(ix, task, attempt, mirror, clock);
+            }
+            // Hearing the new token early ends the old leader's say at once.
+            self.to_tell.insert(ix);
+        }
+    }
+
+    fn inherit_binding(
+        &mut self,
+        ix: MachineIx,
+        task: TaskRef,
+        attempt: Attempt,
+        mirror: &Mirror,
+        clock: Clock,
+    ) {
+        let job = mirror.find(task.job);
+        let info = job.and_then(|job| mirror.job(job));
+        // A finished task only waits to be reaped.
+        if info.is_some_and(|job| job.finished.has(task.task)) {
+            return;
+        }
+        let withdrawn = info.and_then(|job| job.end).map(|(_, at)| self.gone_by(at, clock));
+        let binding = Binding {
+            task,
+            job: job.filter(|_| withdrawn.is_none()),
+            attempt,
+            need: info.map(|job| job.info.need).unwrap_or_default(),
+            team: info.map(|job| job.info.team),
+            run: Run::Inherited,
+            session: Session(0),
+            state: None,
+            late: false,
+            running_since: None,
+            halt: withdrawn.map(|_| 0),
+            halt_sent: None,
+            gone_by: withdrawn,
+        };
+        self.attach(ix, binding);
+    }
+
+    fn inherit_jobs(&mut self, mirror: &Mirror, clock: Clock) {
+        let jobs: Vec<JobIx> = mirror.live().map(|(ix, _)| ix).collect();
+        for ix in jobs {
+            self.add_job(ix, mirror, clock);
+        }
+        // Places of inherited tasks, so that none is started twice.
+        for at in 0..self.machines.len() {
+            let ix = MachineIx(at as u32);
+            let zone = self.machines[at].zone;
+            let image_of = |work: &Work| (work.info.image, work.info.image_mb);
+            let mut images = Vec::new();
+            for binding in &self.machines[at].bindings {
+                if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
+                    work.out.insert(binding.task.task, (ix, binding.attempt));
+                    *work.zones.entry(zone).or_default() += 1;
+                    images.push(image_of(work));
+                }
+            }
+            for (image, mb) in images {
+                self.touch_image(ix, image, mb);
+            }
+        }
+        let jobs: Vec<JobIx> = self.work.keys().copied().collect();
+        for ix in jobs {
+            self.queue_missing(ix);
+        }
+    }
+
+    /// A job that the mirror holds. Its ready tasks are queued by `queue_missing`.
+    pub fn add_job(&mut self, ix: JobIx, mirror: &Mirror, _clock: Clock) {
+        let Some(job) = mirror.job(ix) else { return };
+        if job.end.is_some() {
+            self.writer.clean(job.info.id);
+            return;
+        }
+        self.work.entry(ix).or_insert_with(|| Work {
+            info: job.info.clone(),
+            done: job.finished.clone(),
+            out: HashMap::new(),
+            zones: HashMap::new(),
+            runs: 0,
+            run_ms: 0,
+            failed_on: HashSet::new(),
+            queued: 0,
+            ending: false,
+        });
+    }
+
+    /// Queues every task of a job that is neither finished, nor out, nor queued: for new jobs.
+    pub fn queue_missing(&mut self, ix: JobIx) {
+        let Some(work) = self.work.get(&ix) else {
+            return;
+        };
+        if work.done.full() {
+            self.end_job(ix);
+            return;
+        }
+        if work.info.together() {
+            self.gangs.insert(queues::Rank::of(ix, &work.info));
+        } else {
+            let tasks: Vec<u32> = work.done.missing().filter(|task| !work.out.contains_key(task)).collect();
+            for task in tasks {
+                self.enqueue(ix, task);
+            }
+        }
+        self.stirred = true;
+    }
+
+    pub fn end_job(&mut self, ix: JobIx) {
+        if let Some(work) = self.work.get_mut(&ix)
+            && !work.ending
+        {
+            work.ending = true;
+            self.writer.end(work.info.id);
+        }
+    }
+
+    /// When a worker that still shows a withdrawn job's task must get no more answers,
+    /// so that its lease takes the task away in time.
+    pub fn gone_by(&self, told_wall_ms: u64, clock: Clock) -> Millis {
+        let workers = &self.settings.workers;
+        let slack = self.settings.time_bound_ms * 2 + 4 * super::leadership::MARGIN_MS;
+        let spare = workers.cancel_ms.saturating_sub(workers.lease_ms + slack);
+        let passed = clock.wall_ms.saturating_sub(told_wall_ms);
+        clock.now.plus(spare.saturating_sub(passed))
+    }
+
+    /// The user has withdrawn the job: nothing of it starts any more, everything stops.
+    pub fn withdraw(&mut self, id: JobId, ix: Option<JobIx>, told_wall_ms: u64, clock: Clock) {
+        if let Some(ix) = ix
+            && let Some(work) = self.work.remove(&ix)
+        {
+            self.gangs.remove(&queues::Rank::of(ix, &work.info));
+            self.backlog.drop_job(ix);
+            for machine in &mut self.machines {
+                machine.shared.drop_job(ix);
+                machine.dedicated.drop_job(ix);
+                if machine.held_for.is_some_and(|(job, _)| job == ix) {
+                    machine.held_for = None;
+                }
+            }
+        }
+        let gone_by = self.gone_by(told_wall_ms, clock);
+        for at in 0..self.machines.len() {
+            for binding in &mut self.machines[at].bindings {
+                if binding.task.job == id {
+                    binding.job = None;
+                    binding.halt = Some(0);
+                    binding.halt_sent = None;
+                    binding.gone_by = Some(gone_by);
+                    self.to_tell.insert(MachineIx(at as u32));
+                }
+            }
+            self.drop_unsent(MachineIx(at as u32), clock);
+        }
+        self.writer.clean(id);
+        self.stirred = true;
+    }
+
+    pub fn add_machine(
+        &mut self,
+        name: &str,
+        endpoint: &str,
+        kind: KindIx,
+        zone: ZoneIx,
+        spot: bool,
+        clock: Clock,
+    ) -> MachineIx {
+        if let Some(ix) = self.by_name.get(name) {
+            return *ix;
+        }
+        let ix = MachineIx(self.machines.len() as u32);
+        self.by_name.insert(name.into(), ix);
+        self.machines.push(Machine {
+            name: name.into(),
+            endpoint: endpoint.into(),
+            kind,
+            zone,
+            spot,
+            life: Life::Booting,
+            since: clock.now,
+            session: Session(0),
+            tick: 0,
+            confirmed: false,
+            answered: None,
+            notice_until: None,
+            returning: false,
+            return_recorded: false,
+            bindings: Vec::new(),
+            used: Amount::default(),
+            size: self.kinds.get(&kind).map(|kind| kind.size).unwrap_or_default(),
+            shared: Queue::default(),
+            dedicated: Queue::default(),
+            steal_wait_ms: self.tunables.steal_wait_ms,
+            next_steal: Millis::default(),
+            steal_paused: false,
+            held_for: None,
+            images: Vec::new(),
+            direct_open: false,
+            direct_after: Millis::default(),
+            late: HashSet::new(),
+            idle_since: clock.now,
+            errors: BTreeSet::new(),
+            sick: false,
+            finishes: Vec::new(),
+        });
+        ix
+    }
+
+    /// A task may be on a machine from now on.
+    pub fn attach(&mut self, ix: MachineIx, binding: Binding) {
+        let machine = &mut self.machines[ix.at()];
+        machine.used.add(&binding.need);
+        if let Some(team) = binding.team {
+            self.usage.entry(team).or_default().add(&binding.need);
+        }
+        if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
+            work.out.insert(binding.task.task, (ix, binding.attempt));
+            *work.zones.entry(machine.zone).or_default() += 1;
+        }
+        machine.bindings.push(binding);
+    }
+
+    /// A task is certainly not on the machine any more.
+    pub fn detach(&mut self, ix: MachineIx, at: usize, clock: Clock) -> Binding {
+        let machine = &mut self.machines[ix.at()];
+        let binding = machine.bindings.swap_remove(at);
+        machine.used = machine.used.less(&binding.need);
+        if machine.bindings.is_empty() {
+            machine.idle_since = clock.now;
+        }
+        if let Some(team) = binding.team
+            && let Some(used) = self.usage.get_mut(&team)
+        {
+            *used = used.less(&binding.need);
+        }
+        if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
+            work.out.remove(&binding.task.task);
+            if let Some(count) = work.zones.get_mut(&machine.zone) {
+                *count -= 1;
+                if *count == 0 {
+                    work.zones.remove(&machine.zone);
+                }
+            }
+        }
+        if binding.run != Run::Planned {
+            self.writer.stale(ix);
+        }
+        self.stirred = true;
+        binding
+    }
+
+    /// Bindings that are to stop and whose run command never went out are simply dropped.
+    pub fn drop_unsent(&mut self, ix: MachineIx, clock: Clock) {
+        let unsent = |binding: &Binding| {
+            binding.halt.is_some() && !binding.late && matches!(binding.run, Run::Planned | Run::Recorded)
+        };
+        while let Some(at) = self.machines[ix.at()].bindings.iter().position(unsent) {
+            let binding = self.detach(ix, at, clock);
+            self.requeue(&binding, 0, clock);
+        }
+    }
+
+    pub fn touch_image(&mut self, ix: MachineIx, image: ImageIx, mb: u64) {
+        let machine = &mut self.machines[ix.at()];
+        machine.images.retain(|(held, _)| *held != image);
+        machine.images.push((image, mb));
+        let cache = self.kinds.get(&machine.kind).map_or(u64::MAX, |kind| kind.cache_mb);
+        while machine.images.len() > 1 && machine.images.iter().map(|(_, mb)| mb).sum::<u64>() > cache {
+            machine.images.remove(0);
+        }
+    }
+
+    /// Puts a task back in line, unless its job has ended.
+    pub fn requeue(&mut self, binding: &Binding, delay_ms: u64, clock: Clock) {
+        let Some(ix) = binding.job else { return };
+        let Some(work) = self.work.get(&ix) else {
+            return;
+        };
+        if work.done.has(binding.task.task) {
+            return;
+        }
+        if work.info.together() || delay_ms > 0 {
+            let at = clock.now.plus(delay_ms);
+            self.delayed.entry(at).or_default().push((ix, binding.task.task));
+        } else {
+            self.enqueue(ix, binding.task.task);
+        }
+    }
+
+    /// Tasks whose wait is over.
+    pub fn wake(&mut self, clock: Clock) {
+        while let Some((at, _)) = self.delayed.first_key_value()
+            && *at <= clock.now
+        {
+            for (ix, task) in self.delayed.pop_first().map(|(_, tasks)| tasks).unwrap_or_default() {
+                let Some(work) = self.work.get(&ix) else {
+                    continue;
+                };
+                if work.done.has(task) || work.out.contains_key(&task) {
+                    continue;
+                }
+                if work.info.together() {
+                    self.gangs.insert(queues::Rank::of(ix, &work.info));
+                } else {
+                    self.enqueue(ix, task);
+                }
+                self.stirred = true;
+            }
+        }
+    }
+
+    /// Has the team room for that much more?
+    pub fn within_quota(&self, team: TeamIx, need: &Amount) -> bool {
+        let Some(settings) = self.teams.get(&team) else {
+            return false;
+        };
+        let mut used = self.usage.get(&team).copied().unwrap_or_default();
+        used.add(need);
+        used.fits(&settings.limit())
+    }
+
+    /// Takes every task off a machine that is certainly gone or empty.
+    pub fn clear_machine(&mut self, ix: MachineIx, clock: Clock) {
+        while !self.machines[ix.at()].bindings.is_empty() {
+            let at = self.machines[ix.at()].bindings.len() - 1;
+            let binding = self.detach(ix, at, clock);
+            self.requeue(&binding, 0, clock);
+        }
+    }
+
+    /// The queues of a machine that takes no more tasks go elsewhere.
+    pub fn spread_queues(&mut self, ix: MachineIx) {
+        let machine = &mut self.machines[ix.at()];
+        let mut tasks = machine.shared.drain();
+        tasks.extend(machine.dedicated.drain());
+        for (rank, task) in tasks {
+            if let Some(work) = self.work.get_mut(&rank.job) {
+                work.queued -= 1;
+            }
+            self.enqueue(rank.job, task);
+        }
+    }
+
+    /// Machines whose worker's lease has certainly run out: nothing is on them.
+    pub fn expire(&mut self, clock: Clock) {
+        let lease = self.settings.workers.lease_ms;
+        let slack = (lease as f64 * super::leadership::DRIFT) as u64 + 4 * super::leadership::MARGIN_MS;
+        for at in 0..self.machines.len() {
+            let ix = MachineIx(at as u32);
+            let machine = &self.machines[at];
+            if machine.life != Life::Up {
+                continue;
+            }
+            let over = match machine.answered {
+                Some(answered) if machine.confirmed => answered.plus(lease + slack),
+                // An earlier leader, or our own first answers, may have kept it alive.
+                Some(answered) => answered.plus(lease + slack).max(self.inherited_until),
+                None => self.inherited_until,
+            };
+            if clock.now < over {
+                continue;
+            }
+            log::info!("machine {} lost with {} tasks", machine.name, machine.bindings.len());
+            self.counters.lost_machines += 1;
+            let machine = &mut self.machines[at];
+            machine.life = Life::Silent;
+            machine.held_for = None;
+            machine.idle_since = clock.now;
+            self.clear_machine(ix, clock);
+            self.spread_queues(ix);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/orders.rs
@@ -0,0 +1,122 @@
+//! Commands to workers: in the response to a report, or straight to the worker.
+
+use super::{Leader, Life, Run};
+use crate::bookkeeping::ids::{Attempt, MachineIx, TaskRef};
+use crate::coordination::Clock;
+use crate::protocol::workers::Order;
+
+/// A halt is repeated after this while its task is still shown.
+const HALT_AGAIN_MS: u64 = 1500;
+/// After a direct command failed, the worker's own reports are waited for.
+const DIRECT_PAUSE_MS: u64 = 3000;
+/// Most commands in one message.
+const MOST_ORDERS: usize = 400;
+
+/// A direct message to a worker, and the runs that go with it.
+#[derive(Debug)]
+pub struct Direct {
+    pub machine: MachineIx,
+    pub runs: Vec<(TaskRef, Attempt)>,
+    pub orders: Vec<Order>,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DirectOutcome {
+    Executed,
+    /// Nothing was executed and nothing will be.
+    Refused,
+    /// It may have been, or may be minutes later.
+    Unknown,
+}
+
+impl Leader {
+    /// The commands a machine should get now. `tick`: that of the report being answered,
+    /// None for a direct message.
+    pub fn orders(&mut self, ix: MachineIx, clock: Clock, tick: Option<u64>, may_run: bool) -> Vec<Order> {
+        let machine = &mut self.machines[ix.at()];
+        let session = machine.session;
+        let mut orders = Vec::new();
+        for binding in &mut machine.bindings {
+            if orders.len() >= MOST_ORDERS {
+                break;
+            }
+            let (task, attempt) = (binding.task, binding.attempt);
+            if let Some(grace_ms) = binding.halt {
+                let due = binding.halt_sent.is_none_or(|at| clock.now.since(at) >= HALT_AGAIN_MS);
+                let saving =
+                    binding.state == Some(crate::protocol::workers::TaskState::Saving) && grace_ms > 0;
+                if due && !saving {
+                    binding.halt_sent = Some(clock.now);
+                    orders.push(Order::Halt { task, attempt, grace_ms });
+                }
+                continue;
+            }
+            if binding.run == Run::Recorded && may_run {
+                binding.session = session;
+                binding.run = match tick {
+                    Some(tick) => Run::Answered { tick },
+                    None => Run::Direct,
+                };
+                orders.push(Order::Run { task, attempt });
+            }
+        }
+        orders
+    }
+
+    /// Machines that have something to hear, each at most one message at a time.
+    pub fn direct(&mut self, clock: Clock, may_run: bool) -> Vec<Direct> {
+        let mut messages = Vec::new();
+        for ix in std::mem::take(&mut self.to_tell) {
+            let machine = &self.machines[ix.at()];
+            if machine.life != Life::Up || machine.direct_open || clock.now < machine.direct_after {
+                continue;
+            }
+            let greeting = !machine.confirmed;
+            if greeting && machine.session.0 == 0 && machine.endpoint.is_empty() {
+                continue;
+            }
+            let orders = if greeting { Vec::new() } else { self.orders(ix, clock, None, may_run) };
+            if orders.is_empty() && !greeting {
+                continue;
+            }
+            let runs = orders
+                .iter()
+                .filter_map(|order| match order {
+                    Order::Run { task, attempt } => Some((*task, *attempt)),
+                    _ => None,
+                })
+                .collect();
+            self.machines[ix.at()].direct_open = true;
+            messages.push(Direct { machine: ix, runs, orders });
+        }
+        messages
+    }
+
+    pub fn direct_outcome(&mut self, direct: &Direct, outcome: DirectOutcome, clock: Clock) {
+        let machine = &mut self.machines[direct.machine.at()];
+        machine.direct_open = false;
+        if outcome != DirectOutcome::Executed {
+            machine.direct_after = clock.now.plus(DIRECT_PAUSE_MS);
+        }
+        for binding in &mut machine.bindings {
+            if !direct.runs.contains(&(binding.task, binding.attempt)) || binding.run != Run::Direct {
+                continue;
+            }
+            match outcome {
+                DirectOutcome::Executed => binding.run = Run::Seen,
+                DirectOutcome::Refused => binding.run = Run::Recorded,
+                DirectOutcome::Unknown => {
+                    // Sent again with the next response, which settles it; until then it
+                    // stays bound to this machine and session.
+                    binding.run = Run::Recorded;
+                    binding.late = true;
+                }
+            }
+        }
+        if outcome == DirectOutcome::Unknown {
+            // Also those that were seen to exit meanwhile: a late copy must find them there.
+            machine.late.extend(direct.runs.iter().copied());
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/queues.rs
@@ -0,0 +1,103 @@
+//! A machine's queues: tasks by order of service, whole jobs kept together.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::bookkeeping::ids::{JobIx, Revision};
+use crate::bookkeeping::jobs::JobInfo;
+use crate::protocol::users::Urgency;
+
+/// Urgent first, then larger images (source), then older jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    urgency: Urgency,
+    image_mb: Reverse<u64>,
+    seq: Revision,
+    pub job: JobIx,
+}
+
+impl Rank {
+    pub fn of(job: JobIx, info: &JobInfo) -> Rank {
+        Rank { urgency: info.urgency, image_mb: Reverse(info.image_mb), seq: info.seq, job }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Queue {
+    tasks: BTreeMap<Rank, VecDeque<u32>>,
+    len: usize,
+}
+
+impl Queue {
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub fn push(&mut self, rank: Rank, task: u32) {
+        self.tasks.entry(rank).or_default().push_back(task);
+        self.len += 1;
+    }
+
+    /// The jobs in order of service.
+    pub fn ranks(&self) -> Vec<Rank> {
+        self.tasks.keys().copied().collect()
+    }
+
+    pub fn pop(&mut self, rank: Rank) -> Option<u32> {
+        let tasks = self.tasks.get_mut(&rank)?;
+        let task = tasks.pop_front();
+        if task.is_some() {
+            self.len -= 1;
+        }
+        if tasks.is_empty() {
+            self.tasks.remove(&rank);
+        }
+        task
+    }
+
+    /// Takes up to `most` tasks from the end, of those jobs that `wanted` allows:
+    /// the owner goes on with its first, the taker gets its last.
+    pub fn take_back(&mut self, most: usize, wanted: impl Fn(JobIx) -> bool) -> Vec<(Rank, u32)> {
+        let mut taken = Vec::new();
+        for rank in self.ranks().into_iter().rev() {
+            if !wanted(rank.job) {
+                continue;
+            }
+            while taken.len() < most {
+                let Some(task) = self.tasks.get_mut(&rank).and_then(VecDeque::pop_back) else {
+                    break;
+                };
+                taken.push((rank, task));
+            }
+            if self.tasks.get(&rank).is_some_and(VecDeque::is_empty) {
+                self.tasks.remove(&rank);
+            }
+        }
+        self.len -= taken.len();
+        taken
+    }
+
+    pub fn count_where(&self, wanted: impl Fn(JobIx) -> bool) -> usize {
+        self.tasks.iter().filter(|(rank, _)| wanted(rank.job)).map(|(_, tasks)| tasks.len()).sum()
+    }
+
+    pub fn drop_job(&mut self, job: JobIx) {
+        let len = &mut self.len;
+        self.tasks.retain(|rank, tasks| {
+            let gone = rank.job == job;
+            if gone {
+                *len -= tasks.len();
+            }
+            !gone
+        });
+    }
+
+    pub fn drain(&mut self) -> Vec<(Rank, u32)> {
+        let most = self.len;
+        self.take_back(most, |_| true)
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/reports.rs
@@ -0,0 +1,326 @@
+//! What workers say, and what follows from it.
+
+use std::collections::HashSet;
+
+use super::{Binding, Leader, Life, Run};
+use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
+use crate::bookkeeping::mirror::Mirror;
+use crate::coordination::Clock;
+use crate::protocol::users::Shape;
+use crate::protocol::workers::{ExitCause, Order, Piece, Report, TaskState};
+
+/// Before a task that failed, or was refused, is tried again.
+const AFTER_ERROR_MS: u64 = 1000;
+const AFTER_REFUSAL_MS: u64 = 700;
+const AFTER_UNKNOWN_MS: u64 = 3000;
+/// Different jobs must have failed on a machine before it is thought to be sick.
+const SICK_JOBS: usize = 2;
+/// A job that failed on so many machines is at fault itself.
+const BAD_JOB_MACHINES: usize = 3;
+
+/// How to answer a report.
+#[derive(Debug)]
+pub enum Verdict {
+    Orders(Vec<Order>),
+    /// No answer that keeps the worker alive: what it holds must go.
+    Starve,
+}
+
+impl Leader {
+    /// A report that came as a request. `may_run`: this node is entitled to start tasks.
+    pub fn report(&mut self, mirror: &mut Mirror, clock: Clock, report: &Report, may_run: bool) -> Verdict {
+        let ix = self.machine_of(mirror, report, clock);
+        // An older report may still be the worker's latest: its answer keeps the worker
+        // alive like any other, but it says nothing new.
+        let newer = self.is_newer(ix, report);
+        if newer {
+            self.observe(ix, clock, report);
+            self.adopt_done(mirror, report);
+        }
+        if newer && report.token == self.token {
+            self.machines[ix.at()].confirmed = true;
+            self.absent(ix, clock, report);
+        }
+        let overdue = |binding: &Binding| binding.gone_by.is_some_and(|by| by <= clock.now);
+        if self.machines[ix.at()].bindings.iter().any(overdue) {
+            return Verdict::Starve;
+        }
+        self.machines[ix.at()].answered = Some(clock.now);
+        if !newer || report.token != self.token {
+            // It hears of us only now; orders follow once it shows the token.
+            return Verdict::Orders(Vec::new());
+        }
+        self.stirred = true;
+        let mut orders = self.reaps(ix, mirror, report);
+        orders.extend(self.orders(ix, clock, Some(report.tick), may_run));
+        Verdict::Orders(orders)
+    }
+
+    /// The body of an answer to `/orders`: true as far as it goes, but silent on
+    /// commands that are still on their way in a response.
+    pub fn observe_direct(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
+        if self.is_newer(ix, report) {
+            self.observe(ix, clock, report);
+            self.stirred = true;
+        }
+    }
+
+    fn machine_of(&mut self, mirror: &mut Mirror, report: &Report, clock: Clock) -> MachineIx {
+        let kind = mirror.names.kinds.intern(&report.kind);
+        let zone = mirror.names.zones.intern(&report.zone);
+        let ix = self.add_machine(&report.machine, &report.endpoint, kind, zone, report.spot, clock);
+        let machine = &mut self.machines[ix.at()];
+        machine.endpoint.clone_from(&report.endpoint);
+        if machine.life == Life::Booting {
+            log::info!("machine {} up ({})", machine.name, report.kind);
+            machine.idle_since = clock.now;
+        }
+        if matches!(machine.life, Life::Booting | Life::Silent) {
+            machine.life = Life::Up;
+            self.fleet_heard(ix, clock);
+        }
+        ix
+    }
+
+    fn is_newer(&self, ix: MachineIx, report: &Report) -> bool {
+        let machine = &self.machines[ix.at()];
+        (report.session, report.tick) > (machine.session, machine.tick)
+    }
+
+    fn observe(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
+        let before = self.machines[ix.at()].session;
+        if report.session > before {
+            self.new_session(ix, before, report.session, clock);
+        }
+        let machine = &mut self.machines[ix.at()];
+        machine.session = report.session;
+        machine.tick = report.tick;
+        match report.notice_ms {
+            Some(ms) => {
+                let until = clock.now.plus(ms);
+                if machine.notice_until.is_none() {
+                    log::info!("machine {} is taken back in {ms} ms", machine.name);
+                    machine.notice_until = Some(until);
+                    self.on_notice(ix, ms);
+                }
+            }
+            None => machine.notice_until = None,
+        }
+        for piece in &report.pieces {
+            self.piece(ix, clock, piece);
+        }
+    }
+
+    /// The worker's lease had ended: it has forgotten all it was told before.
+    fn new_session(&mut self, ix: MachineIx, before: Session, now: Session, clock: Clock) {
+        self.machines[ix.at()].late.clear();
+        if before == Session(0) {
+            return;
+        }
+        log::info!("machine {} starts session {}", self.machines[ix.at()].name, now.0);
+        let sent = |binding: &Binding| binding.late || !matches!(binding.run, Run::Planned | Run::Recorded);
+        while let Some(at) = self.machines[ix.at()].bindings.iter().position(sent) {
+            let binding = self.detach(ix, at, clock);
+            self.requeue(&binding, 0, clock);
+        }
+        self.machines[ix.at()].images.clear();
+    }
+
+    fn piece(&mut self, ix: MachineIx, clock: Clock, piece: &Piece) {
+        let known = self.machines[ix.at()]
+            .bindings
+            .iter()
+            .position(|b| b.task == piece.task && b.attempt == piece.attempt);
+        match (known, piece.state) {
+            (Some(at), TaskState::Exited(cause)) => self.exited(ix, at, cause, clock),
+            (Some(at), state) => {
+                let binding = &mut self.machines[ix.at()].bindings[at];
+                binding.run = Run::Seen;
+                binding.state = Some(state);
+                binding.late = false;
+                if state == TaskState::Running && binding.running_since.is_none() {
+                    binding.running_since = Some(clock.now);
+                }
+            }
+            (None, TaskState::Exited(_)) => {}
+            // Nothing of ours: it stops, and counts as being there until it is gone.
+            (None, state) => self.stray(ix, piece, state),
+        }
+    }
+
+    fn stray(&mut self, ix: MachineIx, piece: &Piece, state: TaskState) {
+        log::info!("stray {} on {}", piece.task, self.machines[ix.at()].name);
+        let binding = Binding {
+            task: piece.task,
+            job: None,
+            attempt: piece.attempt,
+            need: Default::default(),
+            team: None,
+            run: Run::Seen,
+            session: Session(0),
+            state: Some(state),
+            late: false,
+            running_since: None,
+            halt: Some(0),
+            halt_sent: None,
+            gone_by: None,
+        };
+        self.attach(ix, binding);
+    }
+
+    /// Tasks that a report proves not to be there.
+    fn absent(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
+        let shown: HashSet<(TaskRef, Attempt)> =
+            report.pieces.iter().map(|piece| (piece.task, piece.attempt)).collect();
+        let mut at = 0;
+        while let Some(binding) = self.machines[ix.at()].bindings.get_mut(at) {
+            if shown.contains(&(binding.task, binding.attempt)) {
+                at += 1;
+                continue;
+            }
+            match binding.run {
+                // Our response was dropped: the worker never carries it out later.
+                Run::Answered { tick } if tick < report.tick => binding.run = Run::Recorded,
+                Run::Seen | Run::Inherited if !binding.late => {
+                    let binding = self.detach(ix, at, clock);
+                    self.requeue(&binding, 0, clock);
+                    continue;
+                }
+                _ => {}
+            }
+            at += 1;
+        }
+        self.drop_unsent(ix, clock);
+    }
+
+    fn exited(&mut self, ix: MachineIx, at: usize, cause: ExitCause, clock: Clock) {
+        let binding = self.detach(ix, at, clock);
+        if binding.late {
+            self.machines[ix.at()].late.insert((binding.task, binding.attempt));
+        }
+        if cause == ExitCause::Done {
+            self.finished(ix, &binding, clock);
+            return;
+        }
+        let delay = match cause {
+            ExitCause::Error => {
+                self.failed(ix, &binding);
+                AFTER_ERROR_MS
+            }
+            ExitCause::NoRoom | ExitCause::Busy => AFTER_REFUSAL_MS,
+            ExitCause::Unknown => AFTER_UNKNOWN_MS,
+            _ => 0,
+        };
+        let delay = delay.saturating_mul(self.patience(&binding));
+        self.requeue(&binding, delay, clock);
+        self.gang_member_left(&binding);
+    }
+
+    /// A job that fails everywhere is tried ever more seldom.
+    fn patience(&self, binding: &Binding) -> u64 {
+        let work = binding.job.and_then(|job| self.work.get(&job));
+        let machines = work.map_or(0, |work| work.failed_on.len());
+        1 << machines.saturating_sub(BAD_JOB_MACHINES - 1).min(5)
+    }
+
+    fn failed(&mut self, ix: MachineIx, binding: &Binding) {
+        log::info!("{} failed on {}", binding.task, self.machines[ix.at()].name);
+        let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) else {
+            return;
+        };
+        work.failed_on.insert(ix);
+        if work.failed_on.len() >= BAD_JOB_MACHINES {
+            // Its own fault: machines that failed nothing else are good again.
+            let id = work.info.id;
+            for machine in &mut self.machines {
+                machine.errors.remove(&id);
+                machine.sick = machine.errors.len() >= SICK_JOBS;
+            }
+            return;
+        }
+        let machine = &mut self.machines[ix.at()];
+        machine.errors.insert(binding.task.job);
+        if machine.errors.len() >= SICK_JOBS && !machine.sick {
+            log::info!("machine {} taken for sick", machine.name);
+            machine.sick = true;
+            self.spread_queues(ix);
+        }
+    }
+
+    fn finished(&mut self, ix: MachineIx, binding: &Binding, clock: Clock) {
+        let machine = &mut self.machines[ix.at()];
+        machine.errors.clear();
+        machine.finishes.retain(|at| clock.now.since(*at) < 60_000);
+        machine.finishes.push(clock.now);
+        let Some(ix) = binding.job else { return };
+        let Some(work) = self.work.get_mut(&ix) else {
+            return;
+        };
+        work.failed_on.clear();
+        if let Some(since) = binding.running_since {
+            // Only runs that were seen from start to end say how long a task takes.
+            work.runs += 1;
+            work.run_ms += clock.now.since(since);
+        }
+        self.task_done(ix, binding.task);
+    }
+
+    fn task_done(&mut self, ix: JobIx, task: TaskRef) {
+        let Some(work) = self.work.get_mut(&ix) else {
+            return;
+        };
+        if work.info.shape == Shape::Gang {
+            // They complete together: when one is done, all of them are.
+            for task in 0..work.info.tasks {
+                work.done.set(task);
+            }
+        } else if work.done.set(task.task) {
+            self.writer.finished(task);
+        }
+        if work.done.full() {
+            self.end_job(ix);
+        }
+    }
+
+    /// Exited tasks that may be forgotten by the worker: whatever that erases is durable.
+    fn reaps(&self, ix: MachineIx, mirror: &Mirror, report: &Report) -> Vec<Order> {
+        if report.token != self.token {
+            return Vec::new();
+        }
+        let machine = &self.machines[ix.at()];
+        let may_go = |piece: &&Piece| {
+            let TaskState::Exited(cause) = piece.state else {
+                return false;
+            };
+            // A direct command may still come and would start it once more.
+            if machine.late.contains(&(piece.task, piece.attempt)) {
+                return false;
+            }
+            if cause != ExitCause::Done || mirror.end_of(piece.task.job).is_some() {
+                return true;
+            }
+            mirror.find_job(piece.task.job).is_none_or(|job| job.finished.has(piece.task.task))
+        };
+        let reap = |piece: &Piece| Order::Reap { task: piece.task, attempt: piece.attempt };
+        report.pieces.iter().filter(may_go).map(reap).collect()
+    }
+
+    /// A `done` of a task that an earlier leader had started and taken off its record.
+    pub fn adopt_done(&mut self, mirror: &Mirror, report: &Report) {
+        for piece in &report.pieces {
+            if piece.state != TaskState::Exited(ExitCause::Done) {
+                continue;
+            }
+            let Some(ix) = mirror.find(piece.task.job) else {
+                continue;
+            };
+            let Some(work) = self.work.get_mut(&ix) else {
+                continue;
+            };
+            if work.out.contains_key(&piece.task.task) {
+                continue;
+            }
+            self.task_done(ix, piece.task);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/leadership.rs
@@ -0,0 +1,164 @@
+//! Who leads. The leader's key hangs on a lease; its revision is the token.
+
+use super::ledger::{Answered, Ledger};
+use super::{Clock, Output};
+use crate::bookkeeping::ids::{LeaseId, Millis, Revision, Token};
+use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::records::{LEADER, LeaderRecord};
+use crate::protocol::state::{Change, Guard, StateReply, StateRequest};
+use crate::settings::WorkerTimes;
+
+/// Taken off every period that others rely on: clocks drift and timers fire late.
+pub const MARGIN_MS: u64 = 250;
+/// Steady clocks run apart by up to 0.05%; a little more is assumed.
+pub const DRIFT: f64 = 0.001;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Phase {
+    Follower,
+    Granting,
+    Acquiring { lease: LeaseId },
+    Leading { lease: LeaseId, token: Token },
+}
+
+#[derive(Debug)]
+pub struct Leadership {
+    node: String,
+    life_ms: u64,
+    phase: Phase,
+    /// When the grant or the last renewal that succeeded was sent.
+    renewed: Millis,
+    asking: bool,
+    last_ask: Millis,
+}
+
+/// What a reply changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    Nothing,
+    Acquired(Token),
+    Lost,
+}
+
+impl Leadership {
+    pub fn new(node: &str, life_ms: u64) -> Leadership {
+        Leadership {
+            node: node.into(),
+            life_ms,
+            phase: Phase::Follower,
+            renewed: Millis::default(),
+            asking: false,
+            last_ask: Millis::default(),
+        }
+    }
+
+    pub fn token(&self) -> Option<Token> {
+        match self.phase {
+            Phase::Leading { token, .. } => Some(token),
+            _ => None,
+        }
+    }
+
+    /// The lease is certainly still ours until then.
+    pub fn valid_until(&self) -> Millis {
+        let safe = self.life_ms as f64 * (1.0 - DRIFT);
+        self.renewed.plus((safe as u64).saturating_sub(MARGIN_MS))
+    }
+
+    pub fn entitled(&self, now: Millis) -> bool {
+        self.token().is_some() && now < self.valid_until()
+    }
+
+    /// How long after its lease a leader without the state service may keep workers alive:
+    /// a job withdrawn elsewhere meanwhile must be gone within `cancel_s`.
+    pub fn hold_ms(workers: &WorkerTimes, life_ms: u64) -> u64 {
+        let slack = (workers.cancel_ms as f64 * DRIFT) as u64 + 4 * MARGIN_MS;
+        workers.cancel_ms.saturating_sub(workers.lease_ms + life_ms + slack)
+    }
+
+    pub fn step_down(&mut self) {
+        self.phase = Phase::Follower;
+    }
+
+    pub fn tick(&mut self, clock: Clock, mirror: &Mirror, ledger: &mut Ledger, out: &mut Vec<Output>) {
+        if self.asking || !ledger.loaded {
+            return;
+        }
+        match self.phase {
+            Phase::Follower => {
+                let free = mirror.leader.is_none() && ledger.fresh.is_some() && ledger.reachable();
+                if free && clock.now.since(self.last_ask) >= RETRY_MS {
+                    self.phase = Phase::Granting;
+                    self.renewed = clock.now;
+                    self.send(clock, StateRequest::Grant { life_ms: self.life_ms }, ledger, out);
+                }
+            }
+            Phase::Leading { lease, .. } => {
+                if clock.now.since(self.last_ask) >= self.life_ms / 4 {
+                    self.send(clock, StateRequest::Renew { lease }, ledger, out);
+                }
+            }
+            Phase::Granting | Phase::Acquiring { .. } => self.phase = Phase::Follower,
+        }
+    }
+
+    fn send(&mut self, clock: Clock, request: StateRequest, ledger: &mut Ledger, out: &mut Vec<Output>) {
+        self.asking = true;
+        self.last_ask = clock.now;
+        ledger.ask_first(clock, request, out);
+    }
+
+    pub fn answered(
+        &mut self,
+        clock: Clock,
+        answered: Answered,
+        ledger: &mut Ledger,
+        out: &mut Vec<Output>,
+    ) -> Turn {
+        self.asking = false;
+        match (self.phase, &answered.request, answered.reply) {
+            (Phase::Granting, _, StateReply::Granted { lease }) => {
+                self.phase = Phase::Acquiring { lease };
+                let record = LeaderRecord { node: self.node.clone() };
+                let request = StateRequest::Txn {
+                    guards: vec![Guard { key: LEADER.into(), stamp: Revision(0) }],
+                    changes: vec![Change::Put {
+                        key: LEADER.into(),
+                        value: serde_json::to_string(&record).unwrap_or_default(),
+                        lease: Some(lease),
+                    }],
+                };
+                self.send(clock, request, ledger, out);
+                Turn::Nothing
+            }
+            (Phase::Acquiring { lease }, StateRequest::Txn { .. }, StateReply::Applied { revision }) => {
+                let token = Token(revision.0);
+                self.phase = Phase::Leading { lease, token };
+                Turn::Acquired(token)
+            }
+            (Phase::Acquiring { lease }, StateRequest::Txn { .. }, _) => {
+                // Lost, or not certain: end the lease, so that a key that was written after all goes away.
+                self.phase = Phase::Follower;
+                ledger.ask_first(clock, StateRequest::Revoke { lease }, out);
+                self.asking = true;
+                Turn::Nothing
+            }
+            (Phase::Leading { .. }, StateRequest::Renew { .. }, StateReply::Renewed) => {
+                self.renewed = self.renewed.max(answered.sent);
+                Turn::Nothing
+            }
+            (Phase::Leading { .. }, StateRequest::Renew { .. }, StateReply::NoSuchLease) => {
+                self.phase = Phase::Follower;
+                Turn::Lost
+            }
+            (Phase::Granting, _, _) => {
+                self.phase = Phase::Follower;
+                Turn::Nothing
+            }
+            _ => Turn::Nothing,
+        }
+    }
+}
+
+/// Between two tries to become leader.
+const RETRY_MS: u64 = 300;
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,52 @@
+//! Decisions. Events and the time go in, actions come out: no I/O, no clock,
+//! seeded randomness, so that a run in virtual time repeats exactly.
+
+pub mod budget;
+pub mod leader;
+pub mod leadership;
+pub mod ledger;
+pub mod node;
+pub mod users;
+
+use crate::bookkeeping::ids::{Millis, Session};
+use crate::protocol::cloud::CloudRequest;
+use crate::protocol::mesh::MeshMessage;
+use crate::protocol::state::StateRequest;
+use crate::protocol::users::UserRequest;
+use crate::protocol::workers::Report;
+use crate::protocol::{Answer, Call, Outcome};
+
+/// The two clocks: one that never jumps, and the time of day.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Clock {
+    pub now: Millis,
+    pub wall_ms: u64,
+}
+
+/// An HTTP request that waits for its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+/// A request of ours that waits for its outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AskId(pub u64);
+
+#[derive(Debug)]
+pub enum Input {
+    Tick,
+    User { call: CallId, request: UserRequest },
+    Report { call: CallId, report: Report },
+    State { ask: AskId, outcome: Outcome },
+    Cloud { ask: AskId, outcome: Outcome },
+    Orders { ask: AskId, outcome: Outcome },
+    Mesh { node: String, message: MeshMessage },
+}
+
+#[derive(Debug)]
+pub enum Output {
+    Answer { call: CallId, answer: Answer },
+    State { ask: AskId, request: StateRequest, timeout_ms: u64 },
+    Cloud { ask: AskId, request: CloudRequest, timeout_ms: u64 },
+    Orders { ask: AskId, endpoint: String, session: Session, call: Call, timeout_ms: u64 },
+    Mesh { node: String, message: MeshMessage },
+}
--- /dev/null
+++ b/src/coordination/node.rs
@@ -0,0 +1,409 @@
+//! One controller: events in, actions out.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::leader::Leader;
+use super::leader::orders::{Direct, DirectOutcome};
+use super::leader::reports::Verdict;
+use super::leadership::{Leadership, Turn};
+use super::ledger::{Answered, Ledger, Purpose};
+use super::users::Users;
+use super::{AskId, CallId, Clock, Input, Output};
+use crate::bookkeeping::ids::{JobId, Millis, Revision, Token};
+use crate::bookkeeping::jobs::End;
+use crate::bookkeeping::mirror::{Mirror, Seen};
+use crate::protocol::cloud::{CloudReply, CloudRequest};
+use crate::protocol::mesh::MeshMessage;
+use crate::protocol::workers::{Report, elsewhere, orders_answer, orders_call, read_report};
+use crate::protocol::{Answer, Outcome};
+use crate::settings::Settings;
+use crate::tunables::Tunables;
+
+/// How often changes are looked for when nobody waits for them.
+const LEADER_POLL_MS: u64 = 250;
+const FOLLOWER_POLL_MS: u64 = 500;
+/// A leader whose mirror is older starts nothing.
+const STALE_MS: u64 = 2_500;
+const DIRECT_TIMEOUT_MS: u64 = 2_500;
+const CATALOG_RETRY_MS: u64 = 3_000;
+const DIRECT_ASK: u64 = 1 << 63;
+const CATALOG_ASK: AskId = AskId((1 << 63) - 1);
+
+pub struct Node {
+    settings: Arc<Settings>,
+    tunables: Arc<Tunables>,
+    seed: u64,
+    mirror: Mirror,
+    ledger: Ledger,
+    leadership: Leadership,
+    users: Users,
+    leader: Option<Leader>,
+    /// Acquired, but the mirror does not reach up to the token yet.
+    taking_over: Option<(Token, Millis)>,
+    directs: HashMap<AskId, Direct>,
+    next_direct: u64,
+    catalog_next: Millis,
+    highest_token: Token,
+}
+
+impl Node {
+    pub fn new(settings: Settings, tunables: Tunables, seed: u64, clock: Clock) -> Node {
+        let life_ms = (tunables.leader_life_s * 1000.0) as u64;
+        Node {
+            leadership: Leadership::new(&settings.node, life_ms),
+            ledger: Ledger::new(settings.state_limits, settings.nodes, clock.now),
+            settings: Arc::new(settings),
+            tunables: Arc::new(tunables),
+            seed,
+            mirror: Mirror::default(),
+            users: Users::default(),
+            leader: None,
+            taking_over: None,
+            directs: HashMap::new(),
+            next_direct: DIRECT_ASK,
+            catalog_next: Millis::default(),
+            highest_token: Token(0),
+        }
+    }
+
+    /// Can this node take users' requests?
+    pub fn ready(&self) -> bool {
+        self.ledger.loaded && !self.mirror.kinds.is_empty()
+    }
+
+    pub fn leads(&self) -> bool {
+        self.leader.is_some()
+    }
+
+    pub fn handle(&mut self, clock: Clock, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        match input {
+            Input::Tick => {}
+            Input::User { call, request } => {
+                self.users.take(clock, call, request, &self.ledger, &self.mirror, &mut out);
+            }
+            Input::Report { call, report } => self.report(clock, call, &report, &mut out),
+            Input::State { ask, outcome } => self.state_answered(clock, ask, &outcome, &mut out),
+            Input::Cloud { ask, outcome } => self.cloud_answered(clock, ask, &outcome),
+            Input::Orders { ask, outcome } => self.orders_answered(clock, ask, &outcome),
+            Input::Mesh { node, message } => self.mesh(&node, &message),
+        }
+        self.step(clock, &mut out);
+        out
+    }
+
+    /// What is due now, whatever the event was.
+    fn step(&mut self, clock: Clock, out: &mut Vec<Output>) {
+        let leads = self.leader.is_some() || self.taking_over.is_some();
+        let due = if leads { LEADER_POLL_MS } else { FOLLOWER_POLL_MS };
+        self.leadership.tick(clock, &self.mirror, &mut self.ledger, out);
+        let wanted = self.users.wants_barrier() || self.taking_over.is_some();
+        self.ledger.keep_fresh(clock, wanted, due, &self.mirror, out);
+        self.users.expire(clock, self.ledger.reachable(), out);
+        let ops = self.settings.state_limits.txn_ops;
+        self.users.write(clock, ops, &mut self.ledger, out);
+        self.learn_catalog(clock, out);
+        self.lead(clock, out);
+    }
+
+    /// A node that knows no machine types asks the cloud itself.
+    fn learn_catalog(&mut self, clock: Clock, out: &mut Vec<Output>) {
+        if self.ledger.loaded && self.mirror.kinds.is_empty() && clock.now >= self.catalog_next {
+            self.catalog_next = clock.now.plus(CATALOG_RETRY_MS);
+            out.push(Output::Cloud { ask: CATALOG_ASK, request: CloudRequest::Catalog, timeout_ms: 3_000 });
+        }
+    }
+
+    fn lead(&mut self, clock: Clock, out: &mut Vec<Output>) {
+        let may_run = self.may_run(clock);
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        leader.expire(clock);
+        if !may_run {
+            return;
+        }
+        leader.place(clock);
+        leader.run_fleet(clock, &self.mirror, out);
+        leader.write(clock, &self.mirror, &mut self.ledger, out);
+        for direct in leader.direct(clock, may_run) {
+            let machine = &leader.machines[direct.machine.at()];
+            self.next_direct += 1;
+            let ask = AskId(self.next_direct);
+            out.push(Output::Orders {
+                ask,
+                endpoint: machine.endpoint.clone(),
+                session: machine.session,
+                call: orders_call(leader.token, machine.session, &direct.orders),
+                timeout_ms: DIRECT_TIMEOUT_MS,
+            });
+            self.directs.insert(ask, direct);
+        }
+    }
+
+    /// Entitled: the lease is certainly ours and the mirror is fresh.
+    fn may_run(&self, clock: Clock) -> bool {
+        let fresh = self.ledger.fresh.is_some_and(|fresh| clock.now.since(fresh) < STALE_MS);
+        self.leader.is_some() && fresh && self.leadership.entitled(clock.now)
+    }
+
+    fn report(&mut self, clock: Clock, call: CallId, report: &Report, out: &mut Vec<Output>) {
+        self.highest_token = self.highest_token.max(report.token);
+        let answer = self.report_answer(clock, report);
+        out.push(Output::Answer { call, answer });
+    }
+
+    fn report_answer(&mut self, clock: Clock, report: &Report) -> Answer {
+        let may_run = self.may_run(clock);
+        let hold = Leadership::hold_ms(&self.settings.workers, self.life_ms());
+        let held_until = self.leadership.valid_until().plus(hold);
+        if let Some(leader) = &mut self.leader {
+            if report.token > leader.token {
+                log::info!("{} has heard of a later leader", report.machine);
+                self.step_down();
+                return elsewhere(None);
+            }
+            if !self.leadership.entitled(clock.now) && clock.now >= held_until {
+                return Answer::later("not entitled", 1);
+            }
+            return match leader.report(&mut self.mirror, clock, report, may_run) {
+                Verdict::Orders(orders) => orders_answer(leader.token, &orders),
+                Verdict::Starve => Answer::later("not entitled", 1),
+            };
+        }
+        match &self.mirror.leader {
+            Some(leader) if leader.node != self.settings.node => elsewhere(Some(&leader.node)),
+            _ => Answer::later("no leader", 1),
+        }
+    }
+
+    fn life_ms(&self) -> u64 {
+        (self.tunables.leader_life_s * 1000.0) as u64
+    }
+
+    fn step_down(&mut self) {
+        if self.leader.take().is_some() {
+            log::info!("leads no more");
+        }
+        self.taking_over = None;
+        self.directs.clear();
+        self.leadership.step_down();
+        self.ledger.set_leading(false);
+    }
+
+    fn state_answered(&mut self, clock: Clock, ask: AskId, outcome: &Outcome, out: &mut Vec<Output>) {
+        let Some(answered) = self.ledger.answered(clock, ask, outcome) else {
+            return;
+        };
+        match answered.purpose {
+            Purpose::Page => {
+                if self.ledger.take_page(answered.reply, &mut self.mirror) {
+                    log::info!("records read up to revision {}", self.mirror.revision.0);
+                }
+            }
+            Purpose::Poll => self.polled(clock, answered, out),
+            Purpose::UserTxn => {
+                if self.users.written(clock, answered, &mut self.mirror, out) {
+                    self.poke(out);
+                }
+                self.look_at_jobs(clock);
+            }
+            Purpose::LeaderTxn => {
+                let leads = match &mut self.leader {
+                    Some(leader) => leader.written(clock, answered, &mut self.mirror),
+                    None => return,
+                };
+                if !leads {
+                    log::info!("the leader's key is not ours any more");
+                    self.step_down();
+                }
+            }
+            Purpose::Leadership => match self.leadership.answered(clock, answered, &mut self.ledger, out) {
+                Turn::Nothing => {}
+                Turn::Acquired(token) => {
+                    self.taking_over = Some((token, clock.now));
+                    self.ledger.set_leading(true);
+                }
+                Turn::Lost => {
+                    log::info!("the leader's lease has ended");
+                    self.step_down();
+                }
+            },
+        }
+    }
+
+    /// Tells the others that there is something to see.
+    fn poke(&self, out: &mut Vec<Output>) {
+        if self.leader.is_some() {
+            return;
+        }
+        if let Some(leader) = &self.mirror.leader {
+            let message = MeshMessage::Poke { revision: self.mirror.revision.0 };
+            out.push(Output::Mesh { node: leader.node.clone(), message });
+        }
+    }
+
+    fn polled(&mut self, clock: Clock, answered: Answered, out: &mut Vec<Output>) {
+        let sent = answered.sent;
+        let served = matches!(answered.reply, crate::protocol::state::StateReply::Changes { .. });
+        let Some(seen) = self.ledger.take_changes(sent, answered.reply, &mut self.mirror) else {
+            log::info!("changes were missed: reading the records again");
+            self.mirror = Mirror::default();
+            self.step_down();
+            return;
+        };
+        self.notice(clock, &seen);
+        if !served {
+            return;
+        }
+        let leader = &self.leader;
+        let mirror = &self.mirror;
+        let running = |id: JobId| match leader.as_ref().zip(mirror.find(id)) {
+            Some((leader, ix)) => leader.work.get(&ix).map_or(0, |work| work.out.len() as u32),
+            None => mirror.recorded_running(id),
+        };
+        self.users.barrier(sent, mirror, &self.settings, &running, out);
+        self.take_over(clock);
+    }
+
+    fn notice(&mut self, clock: Clock, seen: &[Seen]) {
+        for seen in seen {
+            match (seen, &mut self.leader) {
+                (Seen::Job(ix), Some(leader)) => {
+                    leader.add_job(*ix, &self.mirror, clock);
+                    leader.queue_missing(*ix);
+                }
+                (Seen::Ended(id, End::Withdrawn), Some(leader)) => {
+                    let ix = self.mirror.find(*id);
+                    let told = ix.and_then(|ix| self.mirror.job(ix)?.end).map_or(clock.wall_ms, |(_, at)| at);
+                    leader.withdraw(*id, ix, told, clock);
+                }
+                (Seen::Kinds, Some(leader)) => leader.learn_kinds(&mut self.mirror),
+                _ => {}
+            }
+        }
+        let ours = self.leadership.token();
+        let shown = self.mirror.leader.as_ref().map(|leader| leader.revision);
+        if let (Some(leader), Some(token)) = (&self.leader, ours)
+            && shown != Some(Revision(token.0))
+            && self.mirror.revision.0 >= leader.token.0
+        {
+            log::info!("another leader has taken over");
+            self.step_down();
+        }
+    }
+
+    /// Own submissions and withdrawals reach the mirror without a poll.
+    fn look_at_jobs(&mut self, clock: Clock) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let live: Vec<_> = self.mirror.live().map(|(ix, job)| (ix, job.info.id, job.end)).collect();
+        for (ix, id, end) in live {
+            match end {
+                Some((End::Withdrawn, at)) if leader.work.contains_key(&ix) => {
+                    leader.withdraw(id, Some(ix), at, clock);
+                }
+                None if !leader.work.contains_key(&ix) => {
+                    leader.add_job(ix, &self.mirror, clock);
+                    leader.queue_missing(ix);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The mirror holds all that earlier leaders could write: nothing of theirs succeeds later.
+    fn take_over(&mut self, clock: Clock) {
+        let Some((token, acquired)) = self.taking_over else {
+            return;
+        };
+        if self.mirror.revision.0 < token.0 {
+            return;
+        }
+        self.taking_over = None;
+        let shown = self.mirror.leader.as_ref().map(|leader| leader.revision);
+        if shown != Some(Revision(token.0)) {
+            self.step_down();
+            return;
+        }
+        let hold = Leadership::hold_ms(&self.settings.workers, self.life_ms());
+        let start = Clock { now: acquired.max(clock.now), ..clock };
+        let leader = Leader::new(
+            token,
+            hold,
+            self.seed ^ token.0,
+            &mut self.mirror,
+            &self.settings,
+            &self.tunables,
+            start,
+        );
+        log::info!(
+            "leads with token {}: {} jobs, {} machines on record",
+            token.0,
+            leader.work.len(),
+            leader.machines.len()
+        );
+        self.leader = Some(leader);
+    }
+
+    fn cloud_answered(&mut self, clock: Clock, ask: AskId, outcome: &Outcome) {
+        if ask == CATALOG_ASK {
+            if let CloudReply::Catalog(entries) = CloudRequest::Catalog.read_reply(outcome) {
+                for entry in entries {
+                    self.mirror.kinds.insert(entry.name.clone(), entry);
+                }
+                if let Some(leader) = &mut self.leader {
+                    leader.learn_kinds(&mut self.mirror);
+                }
+            }
+            return;
+        }
+        if let Some(leader) = &mut self.leader
+            && leader.owns_ask(ask)
+        {
+            leader.cloud_answered(clock, ask, outcome, &mut self.mirror);
+        }
+    }
+
+    fn orders_answered(&mut self, clock: Clock, ask: AskId, outcome: &Outcome) {
+        let Some(direct) = self.directs.remove(&ask) else {
+            return;
+        };
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let verdict = match outcome {
+            Outcome::Response { status: 200, .. } => DirectOutcome::Executed,
+            Outcome::Response { .. } | Outcome::NotSent => DirectOutcome::Refused,
+            Outcome::Unknown => DirectOutcome::Unknown,
+        };
+        if let Outcome::Response { body, .. } = outcome
+            && let Some(report) = read_report(body)
+        {
+            if report.token > leader.token {
+                log::info!("{} has heard of a later leader", report.machine);
+                self.step_down();
+                return;
+            }
+            let known = leader.machines[direct.machine.at()].name == report.machine;
+            if known {
+                leader.observe_direct(direct.machine, clock, &report);
+            }
+        }
+        leader.direct_outcome(&direct, verdict, clock);
+    }
+
+    fn mesh(&mut self, node: &str, message: &MeshMessage) {
+        match message {
+            MeshMessage::Hello { .. } => {}
+            MeshMessage::Poke { revision } => {
+                log::debug!("{node} has written revision {revision}");
+                if *revision > self.mirror.revision.0 {
+                    self.ledger.look_now();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/users.rs
@@ -0,0 +1,364 @@
+//! Users' requests: what can be answered at once, what needs a read barrier,
+//! and what has to be written first.
+
+use super::ledger::{Answered, Ledger, Purpose};
+use super::{CallId, Clock, Output};
+use crate::bookkeeping::ids::{Amount, JobId, Millis, Revision, milli_down};
+use crate::bookkeeping::jobs::{End, need_of};
+use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::records::{EndRecord, JobRecord, Key};
+use crate::protocol::Answer;
+use crate::protocol::state::{Change, Guard, Pair, StateReply, StateRequest};
+use crate::protocol::users::{JobSpec, JobStatus, Shape, UserRequest, status_answer};
+use crate::settings::{Settings, Team};
+
+/// Users wait 2 s for a poll and 5 s for the rest; the answer must be on its way before.
+const POLL_PATIENCE_MS: u64 = 1500;
+const WRITE_PATIENCE_MS: u64 = 3500;
+/// Requests held at once; more are told to come back.
+const MOST_WAITING: usize = 2000;
+const COME_BACK_S: u32 = 1;
+
+#[derive(Debug)]
+struct Waiting {
+    call: CallId,
+    request: UserRequest,
+    arrived: Millis,
+    until: Millis,
+}
+
+#[derive(Debug)]
+enum Write {
+    Accept { call: CallId, id: JobId, spec: Box<JobSpec> },
+    Withdraw { call: CallId, id: JobId },
+}
+
+impl Write {
+    fn id(&self) -> JobId {
+        match self {
+            Write::Accept { id, .. } | Write::Withdraw { id, .. } => *id,
+        }
+    }
+
+    fn call(&self) -> CallId {
+        match self {
+            Write::Accept { call, .. } | Write::Withdraw { call, .. } => *call,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Users {
+    waiting: Vec<Waiting>,
+    queued: Vec<(Write, Millis)>,
+    writing: Vec<(Write, Millis)>,
+}
+
+/// Tells how many tasks of a job run, for display.
+pub type Running<'a> = &'a dyn Fn(JobId) -> u32;
+
+impl Users {
+    pub fn wants_barrier(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    pub fn take(
+        &mut self,
+        clock: Clock,
+        call: CallId,
+        request: UserRequest,
+        ledger: &Ledger,
+        mirror: &Mirror,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(answer) = final_answer(&request, mirror) {
+            out.push(Output::Answer { call, answer });
+            return;
+        }
+        if !ledger.loaded || !ledger.reachable() || self.waiting.len() >= MOST_WAITING {
+            let answer = Answer::later("cannot decide now", COME_BACK_S);
+            out.push(Output::Answer { call, answer });
+            return;
+        }
+        let patience = match request {
+            UserRequest::Poll { .. } => POLL_PATIENCE_MS,
+            _ => WRITE_PATIENCE_MS,
+        };
+        self.waiting.push(Waiting { call, request, arrived: clock.now, until: clock.now.plus(patience) });
+    }
+
+    /// The mirror holds everything up to a read that was sent at `sent`.
+    pub fn barrier(
+        &mut self,
+        sent: Millis,
+        mirror: &Mirror,
+        settings: &Settings,
+        running: Running<'_>,
+        out: &mut Vec<Output>,
+    ) {
+        let (ripe, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|waiting| waiting.arrived <= sent);
+        self.waiting = rest;
+        for waiting in ripe {
+            self.decide(waiting, mirror, settings, running, out);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        waiting: Waiting,
+        mirror: &Mirror,
+        settings: &Settings,
+        running: Running<'_>,
+        out: &mut Vec<Output>,
+    ) {
+        let call = waiting.call;
+        if let Some(answer) = final_answer(&waiting.request, mirror) {
+            out.push(Output::Answer { call, answer });
+            return;
+        }
+        let answer = match waiting.request {
+            UserRequest::Poll { id } => {
+                status_of(id, mirror, running).unwrap_or_else(|| Answer::error(404, "no such job"))
+            }
+            UserRequest::Abort { id } if mirror.find(id).is_some() => {
+                self.queued.push((Write::Withdraw { call, id }, waiting.until));
+                return;
+            }
+            UserRequest::Abort { .. } => Answer::error(404, "no such job"),
+            // A known name comes before any verdict about what else is in the request.
+            UserRequest::Submit { id, spec } => match (status_of(id, mirror, running), spec) {
+                (Some(known), _) => known,
+                (None, Err(problem)) => Answer::error(400, &problem),
+                (None, Ok(spec)) => match judge(&spec, mirror, settings) {
+                    Ok(()) => {
+                        self.queued.push((Write::Accept { call, id, spec }, waiting.until));
+                        return;
+                    }
+                    Err(answer) => answer,
+                },
+            },
+        };
+        out.push(Output::Answer { call, answer });
+    }
+
+    /// Gives up on what waited too long, and on everything once the service refuses.
+    pub fn expire(&mut self, clock: Clock, reachable: bool, out: &mut Vec<Output>) {
+        let overdue = |until: Millis| !reachable || until <= clock.now;
+        let mut refuse = |call: CallId| {
+            let answer = Answer::later("cannot decide now", COME_BACK_S);
+            out.push(Output::Answer { call, answer });
+        };
+        self.waiting.retain(|waiting| {
+            let over = overdue(waiting.until);
+            if over {
+                refuse(waiting.call);
+            }
+            !over
+        });
+        self.queued.retain(|(write, until)| {
+            let over = overdue(*until);
+            if over {
+                refuse(write.call());
+            }
+            !over
+        });
+    }
+
+    /// Sends what waits to be written, one transaction at a time.
+    pub fn write(&mut self, clock: Clock, txn_ops: usize, ledger: &mut Ledger, out: &mut Vec<Output>) {
+        if !self.writing.is_empty() || self.queued.is_empty() {
+            return;
+        }
+        let most = txn_ops.min(ledger.writes.available(clock.now));
+        let mut guards = Vec::new();
+        let mut changes: Vec<Change> = Vec::new();
+        let mut bytes = 0;
+        let mut count = 0;
+        for (write, _) in self.queued.iter().take(most) {
+            let (guard, change) = plan(write, clock.wall_ms);
+            let size = change_size(&change);
+            let twice = changes.iter().any(|other| other.key() == change.key());
+            if twice || (count > 0 && bytes + size > LARGEST_TXN) {
+                break;
+            }
+            bytes += size;
+            count += 1;
+            guards.extend(guard);
+            changes.push(change);
+        }
+        if count > 0 && ledger.txn(clock, Purpose::UserTxn, guards, changes, out).is_some() {
+            self.writing = self.queued.drain(..count).collect();
+        }
+    }
+
+    /// What came of the transaction. True if the leader should hear of it.
+    pub fn written(
+        &mut self,
+        clock: Clock,
+        answered: Answered,
+        mirror: &mut Mirror,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let writing = std::mem::take(&mut self.writing);
+        match answered.reply {
+            StateReply::Applied { revision } => {
+                apply_changes(&answered.request, revision, mirror);
+                for (write, _) in writing {
+                    out.push(accepted(&write));
+                }
+                true
+            }
+            StateReply::Conflict { failed } => {
+                self.again(clock, writing, &failed);
+                false
+            }
+            _ => {
+                // Perhaps carried out, perhaps not: the user asks again and gets to know.
+                for (write, _) in writing {
+                    let answer = Answer::later("not certain to be stored", COME_BACK_S);
+                    out.push(Output::Answer { call: write.call(), answer });
+                }
+                false
+            }
+        }
+    }
+
+    /// Somebody else was first with some of the keys: those are looked up again.
+    fn again(&mut self, clock: Clock, writing: Vec<(Write, Millis)>, failed: &[String]) {
+        for (write, until) in writing {
+            let id = write.id();
+            let lost = failed.is_empty()
+                || failed
+                    .iter()
+                    .any(|key| matches!(Key::parse(key), Some(Key::Job(k) | Key::End(k)) if k == id));
+            if !lost {
+                self.queued.push((write, until));
+                continue;
+            }
+            let (call, request) = match write {
+                Write::Accept { call, id, spec } => (call, UserRequest::Submit { id, spec: Ok(spec) }),
+                Write::Withdraw { call, id } => (call, UserRequest::Abort { id }),
+            };
+            self.waiting.push(Waiting { call, request, arrived: clock.now, until });
+        }
+    }
+}
+
+/// Below the 64 KiB of a transaction, with room for its frame.
+const LARGEST_TXN: usize = 48 * 1024;
+
+fn change_size(change: &Change) -> usize {
+    match change {
+        Change::Put { key, value, .. } => key.len() * 3 + value.len() + 100,
+        Change::Delete { key } => key.len() * 2 + 60,
+    }
+}
+
+fn plan(write: &Write, wall_ms: u64) -> (Vec<Guard>, Change) {
+    let absent = |key: Key| Guard { key: key.text(), stamp: Revision(0) };
+    match write {
+        Write::Accept { id, spec, .. } => {
+            let record = JobRecord { at: wall_ms, spec: (**spec).clone() };
+            let put = Change::Put {
+                key: Key::Job(*id).text(),
+                value: serde_json::to_string(&record).unwrap_or_default(),
+                lease: None,
+            };
+            // The record of an ended job is removed in time, its end never is.
+            (vec![absent(Key::Job(*id)), absent(Key::End(*id))], put)
+        }
+        Write::Withdraw { id, .. } => {
+            let record = EndRecord::new(End::Withdrawn, wall_ms);
+            let put = Change::Put {
+                key: Key::End(*id).text(),
+                value: serde_json::to_string(&record).unwrap_or_default(),
+                lease: None,
+            };
+            (vec![absent(Key::End(*id))], put)
+        }
+    }
+}
+
+fn accepted(write: &Write) -> Output {
+    let (call, answer) = match write {
+        Write::Accept { call, id, .. } => {
+            log::info!("accepted {id}");
+            (*call, status_answer(201, *id, JobStatus::Pending, None))
+        }
+        Write::Withdraw { call, id } => {
+            log::info!("withdrawn {id}");
+            (*call, status_answer(200, *id, JobStatus::Withdrawn, None))
+        }
+    };
+    Output::Answer { call, answer }
+}
+
+/// Takes the changes of a confirmed transaction into the mirror.
+pub fn apply_changes(request: &StateRequest, revision: Revision, mirror: &mut Mirror) {
+    let StateRequest::Txn { changes, .. } = request else {
+        return;
+    };
+    for change in changes {
+        let (key, value) = match change {
+            Change::Put { key, value, .. } => (key, Some(value.clone())),
+            Change::Delete { key } => (key, None),
+        };
+        mirror.apply_own(&Pair { key: key.clone(), value, stamp: revision });
+    }
+}
+
+/// Ends never change, so the mirror's word is enough.
+fn final_answer(request: &UserRequest, mirror: &Mirror) -> Option<Answer> {
+    let id = match request {
+        UserRequest::Submit { id, .. } | UserRequest::Poll { id } | UserRequest::Abort { id } => *id,
+    };
+    let status = match mirror.end_of(id)? {
+        End::Done => JobStatus::Done,
+        End::Withdrawn => JobStatus::Withdrawn,
+    };
+    Some(status_answer(200, id, status, None))
+}
+
+fn status_of(id: JobId, mirror: &Mirror, running: Running<'_>) -> Option<Answer> {
+    let job = mirror.find_job(id)?;
+    let runs = running(id);
+    let status = if runs > 0 { JobStatus::Running } else { JobStatus::Pending };
+    Some(status_answer(200, id, status, Some((job.finished.count(), runs))))
+}
+
+/// Can the job ever run?
+fn judge(spec: &JobSpec, mirror: &Mirror, settings: &Settings) -> Result<(), Answer> {
+    let need = need_of(spec);
+    let Some(team) = settings.teams.iter().find(|team| team.name == spec.owner) else {
+        return Err(Answer::error(422, "unknown team"));
+    };
+    if mirror.kinds.is_empty() {
+        return Err(Answer::later("machine types are not known yet", COME_BACK_S));
+    }
+    let fits = mirror.kinds.values().any(|kind| {
+        let allowed = spec.boxkinds.as_ref().is_none_or(|kinds| kinds.contains(&kind.name));
+        let here = spec.hall.as_ref().is_none_or(|zone| kind.zones.is_empty() || kind.zones.contains(zone));
+        let room = Amount {
+            cpu: milli_down(kind.cpus),
+            gpu: milli_down(kind.gpus),
+            mem: milli_down(kind.memory_gb),
+        };
+        allowed && here && need.fits(&room)
+    });
+    if !fits {
+        return Err(Answer::error(422, "a task fits no allowed machine type"));
+    }
+    if !within_limit(spec, &need, team) {
+        return Err(Answer::error(422, "more than the team's limit"));
+    }
+    Ok(())
+}
+
+fn within_limit(spec: &JobSpec, need: &Amount, team: &Team) -> bool {
+    let tasks = match spec.shape {
+        Shape::Array => 1,
+        Shape::Gang | Shape::Service => u64::from(spec.pieces),
+    };
+    need.times(tasks).fits(&team.limit())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! olivelatch: a cluster scheduler with data-aware work stealing.
+//!
+//! The layers, outermost first: `transport` moves bytes and keeps time,
+//! `protocol` turns bytes into typed messages and back, `coordination` decides,
+//! `bookkeeping` remembers. The last two do no I/O and read no clock.
+
+pub mod bookkeeping;
+pub mod cli;
+pub mod coordination;
+pub mod logging;
+pub mod protocol;
+pub mod settings;
+pub mod transport;
+pub mod tunables;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    olivelatch::cli::main()
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,214 @@
+//! Sockets, timers and the clock: one thread around `polling`.
+
+mod clients;
+mod http;
+mod mesh;
+mod poll;
+mod router;
+mod servers;
+mod stream;
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::TcpListener;
+use std::num::NonZeroUsize;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use polling::{Event, Events, Poller};
+
+use crate::bookkeeping::ids::Millis;
+use crate::coordination::node::Node;
+use crate::coordination::{CallId, Clock, Input, Output};
+use crate::settings::Settings;
+use crate::tunables::Tunables;
+use clients::Clients;
+use mesh::Mesh;
+use poll::Watch;
+use servers::Servers;
+
+const FRONT: usize = 0;
+const MESH: usize = 1;
+const FIRST_KEY: usize = 2;
+/// Without events the node is asked that often what is due.
+const TICK_MS: u64 = 50;
+const EVENTS: usize = 256;
+
+/// What the transport's parts share.
+pub struct Common {
+    poller: Arc<Poller>,
+    next_key: usize,
+    start: Instant,
+    /// What the node is to be told next.
+    inputs: VecDeque<Input>,
+}
+
+impl Common {
+    fn key(&mut self) -> usize {
+        self.next_key += 1;
+        self.next_key
+    }
+
+    pub fn now(&self) -> Millis {
+        // One second ahead, so that "never" (0) lies well in the past.
+        Millis(self.start.elapsed().as_millis() as u64 + 100_000)
+    }
+
+    fn clock(&self) -> Clock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { now: self.now(), wall_ms: wall.as_millis() as u64 }
+    }
+}
+
+struct Runtime {
+    common: Common,
+    /// Locked for one event at a time; no I/O happens meanwhile.
+    node: Mutex<Node>,
+    front: Watch<TcpListener>,
+    mesh_listener: Watch<TcpListener>,
+    servers: Servers,
+    clients: Clients,
+    mesh: Mesh,
+}
+
+fn listen(poller: &Arc<Poller>, addr: std::net::SocketAddr, key: usize) -> io::Result<Watch<TcpListener>> {
+    let listener = TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    Watch::new(poller, listener, Event::readable(key))
+}
+
+/// Runs a controller until it is killed.
+pub fn serve(settings: Settings, tunables: Tunables) -> io::Result<()> {
+    let poller = Arc::new(Poller::new()?);
+    let common = Common {
+        poller: poller.clone(),
+        next_key: FIRST_KEY,
+        start: Instant::now(),
+        inputs: VecDeque::new(),
+    };
+    let front = listen(&poller, settings.front, FRONT)?;
+    let mesh_listener = listen(&poller, settings.mesh, MESH)?;
+    // Sockets for our own calls are kept free.
+    let spare = 100 + settings.quota.max_connections / 10;
+    let most = settings.quota.max_connections.saturating_sub(spare).max(50);
+    let clock = common.clock();
+    let seed = clock.wall_ms ^ seed_of(&settings.node);
+    log::info!("serving users and workers on {}, controllers on {}", settings.front, settings.mesh);
+    let mut runtime = Runtime {
+        servers: Servers::new(most),
+        clients: Clients::new(settings.state, settings.cloud),
+        mesh: Mesh::new(&settings),
+        node: Mutex::new(Node::new(settings, tunables, seed, clock)),
+        common,
+        front,
+        mesh_listener,
+    };
+    runtime.run()
+}
+
+/// Nodes that start at the same moment should not act in step.
+fn seed_of(name: &str) -> u64 {
+    name.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+impl Runtime {
+    fn run(&mut self) -> io::Result<()> {
+        let capacity = NonZeroUsize::new(EVENTS).unwrap_or(NonZeroUsize::MIN);
+        let mut events = Events::with_capacity(capacity);
+        let mut ticked = Millis::default();
+        loop {
+            let now = self.common.now();
+            let wait = TICK_MS.saturating_sub(now.since(ticked)).max(1);
+            events.clear();
+            match self.common.poller.wait(&mut events, Some(Duration::from_millis(wait))) {
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+            for event in events.iter() {
+                self.event(event);
+            }
+            self.drain();
+            let now = self.common.now();
+            if now.since(ticked) >= TICK_MS {
+                ticked = now;
+                self.clients.expire(&mut self.common);
+                self.servers.expire(&mut self.common);
+                self.common.inputs.push_back(Input::Tick);
+                self.drain();
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event.key {
+            FRONT => self.accept_front(),
+            MESH => self.accept_mesh(),
+            key if self.servers.has(key) => {
+                let ready = self.node().ready();
+                self.servers.event(&mut self.common, key, ready);
+            }
+            key if self.clients.has(key) => self.clients.event(&mut self.common, key),
+            key => self.mesh.event(&mut self.common, key),
+        }
+    }
+
+    fn accept_front(&mut self) {
+        while let Ok((socket, _)) = self.front.source().accept() {
+            self.servers.accept(&mut self.common, socket);
+        }
+        if self.front.want(true, false).is_err() {
+            log::error!("cannot accept on the front address");
+        }
+    }
+
+    fn accept_mesh(&mut self) {
+        while let Ok((socket, _)) = self.mesh_listener.source().accept() {
+            self.mesh.accept(&mut self.common, socket);
+        }
+        if self.mesh_listener.want(true, false).is_err() {
+            log::error!("cannot accept on the mesh address");
+        }
+    }
+
+    fn node(&self) -> MutexGuard<'_, Node> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the node what happened and carries out what it decides, until nothing is left.
+    fn drain(&mut self) {
+        while let Some(input) = self.common.inputs.pop_front() {
+            let clock = self.common.clock();
+            let outputs = self.node().handle(clock, input);
+            for output in outputs {
+                self.carry_out(output);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        let common = &mut self.common;
+        match output {
+            Output::Answer { call, answer } => self.servers.answer(common, call, &answer),
+            Output::State { ask, request, timeout_ms } => {
+                self.clients.ask_state(common, ask, request.to_call(), timeout_ms);
+            }
+            Output::Cloud { ask, request, timeout_ms } => {
+                self.clients.ask_cloud(common, ask, request.to_call(), timeout_ms);
+            }
+            Output::Orders { ask, endpoint, call, timeout_ms, .. } => {
+                self.clients.ask_worker(common, ask, &endpoint, call, timeout_ms);
+            }
+            Output::Mesh { node, message } => self.mesh.send(common, &node, &message),
+        }
+    }
+}
+
+/// Calls are numbered as they come.
+fn call_id(counter: &mut u64) -> CallId {
+    *counter += 1;
+    CallId(*counter)
+}
+
+type Keyed<T> = HashMap<usize, T>;
--- /dev/null
+++ b/src/transport/router.rs
@@ -0,0 +1,46 @@
+//! From a request's method and path to what is asked.
+
+use super::http::Request;
+use crate::bookkeeping::ids::JobId;
+use crate::protocol::Answer;
+use crate::protocol::users::{UserRequest, read_submission};
+use crate::protocol::workers::{Report, read_report};
+
+pub enum Routed {
+    Ready,
+    User(UserRequest),
+    Report(Box<Report>),
+    /// Answered without further ado.
+    Final(Answer),
+}
+
+pub fn route(request: &Request) -> Routed {
+    let path = request.path.split('?').next().unwrap_or("");
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    let (method, action): (&str, &dyn Fn() -> Routed) = match parts.as_slice() {
+        ["ready"] => ("GET", &|| Routed::Ready),
+        ["v1", "report"] => ("POST", &|| match read_report(&request.body) {
+            Some(report) => Routed::Report(Box::new(report)),
+            None => Routed::Final(Answer::error(400, "not a report")),
+        }),
+        ["work"] => ("POST", &|| match read_submission(&request.body) {
+            Ok(submission) => Routed::User(submission),
+            Err(answer) => Routed::Final(answer),
+        }),
+        ["work", id] => ("GET", &|| by_id(id, |id| UserRequest::Poll { id })),
+        ["work", id, "abort"] => ("POST", &|| by_id(id, |id| UserRequest::Abort { id })),
+        _ => return Routed::Final(Answer::error(404, "no such path")),
+    };
+    if request.method != method {
+        return Routed::Final(Answer::error(405, "wrong method"));
+    }
+    action()
+}
+
+/// A name of another form was never accepted.
+fn by_id(id: &str, make: impl Fn(JobId) -> UserRequest) -> Routed {
+    match JobId::parse(id) {
+        Some(id) => Routed::User(make(id)),
+        None => Routed::Final(Answer::error(404, "no such job")),
+    }
+}
--- /dev/null
+++ b/src/transport/servers.rs
@@ -0,0 +1,199 @@
+//! Connections of users, workers and health checks.
+
+use std::collections::HashMap;
+use std::net::TcpStream;
+
+use super::http::{LARGEST_BODY, Parsed, parse_request, write_response};
+use super::router::{Routed, route};
+use super::stream::{Flow, Stream};
+use super::{Common, Keyed, call_id};
+use crate::bookkeeping::ids::Millis;
+use crate::coordination::{CallId, Input};
+use crate::protocol::Answer;
+
+/// A request that is not whole by then, and a connection that says nothing.
+const HALF_SENT_MS: u64 = 10_000;
+const IDLE_MS: u64 = 120_000;
+const MOST_INPUT: usize = LARGEST_BODY + 32 * 1024;
+/// An answer that nobody takes is not kept beyond this.
+const MOST_OUTPUT: usize = 256 * 1024;
+
+struct Server {
+    stream: Stream,
+    /// The request being worked on; further ones wait in the buffer.
+    call: Option<CallId>,
+    keep_alive: bool,
+    closing: bool,
+    active: Millis,
+}
+
+pub struct Servers {
+    open: Keyed<Server>,
+    calls: HashMap<CallId, usize>,
+    next_call: u64,
+    most: usize,
+    checked: Millis,
+}
+
+impl Servers {
+    pub fn new(most: usize) -> Servers {
+        Servers {
+            open: HashMap::new(),
+            calls: HashMap::new(),
+            next_call: 0,
+            most,
+            checked: Millis::default(),
+        }
+    }
+
+    pub fn has(&self, key: usize) -> bool {
+        self.open.contains_key(&key)
+    }
+
+    pub fn accept(&mut self, common: &mut Common, socket: TcpStream) {
+        if self.open.len() >= self.most {
+            self.drop_idlest();
+        }
+        let key = common.key();
+        if let Ok(stream) = Stream::accepted(&common.poller, socket, key) {
+            let server =
+                Server { stream, call: None, keep_alive: true, closing: false, active: common.now() };
+            self.open.insert(key, server);
+        }
+    }
+
+    /// Slow or silent connections must not keep others out.
+    fn drop_idlest(&mut self) {
+        let idlest = self.open.iter().min_by_key(|(_, server)| (server.call.is_some(), server.active));
+        if let Some(key) = idlest.map(|(key, _)| *key) {
+            self.close(key);
+        }
+    }
+
+    fn close(&mut self, key: usize) {
+        if let Some(server) = self.open.remove(&key)
+            && let Some(call) = server.call
+        {
+            self.calls.remove(&call);
+        }
+    }
+
+    pub fn event(&mut self, common: &mut Common, key: usize, ready: bool) {
+        let Some(server) = self.open.get_mut(&key) else {
+            return;
+        };
+        let read = server.stream.fill(MOST_INPUT);
+        self.serve(common, key, ready);
+        let Some(server) = self.open.get_mut(&key) else {
+            return;
+        };
+        // A peer that has closed may still read what is on its way.
+        let done = read == Flow::Closed && server.call.is_none();
+        if done || read == Flow::Closed && server.stream.pending() == 0 && server.closing {
+            self.close(key);
+            return;
+        }
+        if read == Flow::Closed {
+            server.keep_alive = false;
+        }
+        self.push(key);
+    }
+
+    /// Takes requests from the buffer until one has to wait for its answer.
+    fn serve(&mut self, common: &mut Common, key: usize, ready: bool) {
+        while let Some(server) = self.open.get_mut(&key) {
+            if server.call.is_some() || server.closing {
+                return;
+            }
+            let request = match parse_request(&server.stream.input) {
+                Parsed::Partial if server.stream.input.len() >= MOST_INPUT => None,
+                Parsed::Partial => return,
+                Parsed::Bad => None,
+                Parsed::Whole(request, taken) => {
+                    server.stream.take_input(taken);
+                    Some(request)
+                }
+            };
+            server.active = common.now();
+            let Some(request) = request else {
+                server.keep_alive = false;
+                Self::respond(server, &Answer::error(400, "malformed request"));
+                return;
+            };
+            server.keep_alive = request.keep_alive;
+            match route(&request) {
+                Routed::Final(answer) => Self::respond(server, &answer),
+                Routed::Ready if ready => Self::respond(server, &Answer::json(200, &"ready")),
+                Routed::Ready => Self::respond(server, &Answer::later("not ready", 1)),
+                Routed::User(request) => {
+                    let call = call_id(&mut self.next_call);
+                    server.call = Some(call);
+                    self.calls.insert(call, key);
+                    common.inputs.push_back(Input::User { call, request });
+                }
+                Routed::Report(report) => {
+                    let call = call_id(&mut self.next_call);
+                    server.call = Some(call);
+                    self.calls.insert(call, key);
+                    common.inputs.push_back(Input::Report { call, report: *report });
+                }
+            }
+        }
+    }
+
+    fn respond(server: &mut Server, answer: &Answer) {
+        let mut bytes = Vec::with_capacity(answer.body.len() + 200);
+        write_response(&mut bytes, answer.status, answer.retry_after_s, &answer.body, server.keep_alive);
+        server.stream.queue(&bytes);
+        server.call = None;
+        server.closing = !server.keep_alive;
+    }
+
+    /// Sends what is pending and waits for what comes next.
+    fn push(&mut self, key: usize) {
+        let Some(server) = self.open.get_mut(&key) else {
+            return;
+        };
+        let mut flow = server.stream.flush();
+        let pending = server.stream.pending();
+        if pending > MOST_OUTPUT || (server.closing && pending == 0) {
+            flow = Flow::Closed;
+        }
+        if flow == Flow::Open {
+            let room = server.stream.input.len() < MOST_INPUT && server.call.is_none();
+            flow = server.stream.rearm(room);
+        }
+        if flow == Flow::Closed {
+            self.close(key);
+        }
+    }
+
+    pub fn answer(&mut self, common: &mut Common, call: CallId, answer: &Answer) {
+        let Some(key) = self.calls.remove(&call) else {
+            return;
+        };
+        let Some(server) = self.open.get_mut(&key) else {
+            return;
+        };
+        server.active = common.now();
+        Self::respond(server, answer);
+        self.push(key);
+    }
+
+    pub fn expire(&mut self, common: &mut Common) {
+        let now = common.now();
+        if now.since(self.checked) < 1000 {
+            return;
+        }
+        self.checked = now;
+        let over = |server: &Server| {
+            let limit = if server.stream.input.is_empty() { IDLE_MS } else { HALF_SENT_MS };
+            server.call.is_none() && now.since(server.active) > limit
+        };
+        let stale: Vec<usize> =
+            self.open.iter().filter(|(_, server)| over(server)).map(|(key, _)| *key).collect();
+        for key in stale {
+            self.close(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/tunables.rs
@@ -0,0 +1,109 @@
+//! The operators' own settings: an optional HCL file. The defaults are here, in one place.
+
+use std::path::Path;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum TunablesError {
+    #[error("{file}: {error}")]
+    Read { file: String, error: std::io::Error },
+    #[error("{file}: {problem}")]
+    Hcl { file: String, problem: String },
+    #[error("{file}: {name} must be {low} to {high}, not {value}")]
+    Range { file: String, name: &'static str, low: f64, high: f64, value: f64 },
+}
+
+/// Defaults marked (source) are the paper's, the others the project's own.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tunables {
+    /// Fetch time over run time up to which a task joins a shared queue (source).
+    pub t: f64,
+    /// Estimated run time of a dedicated queue above which it spills, in seconds (source).
+    pub tt_s: f64,
+    /// Fetch rate assumed until one was observed or published, in GB per second.
+    pub fetch_gb_per_s: f64,
+    /// First wait after a failed steal, doubled by each further one (source).
+    pub steal_wait_ms: f64,
+    /// The wait at which an idle machine stops stealing until tasks arrive.
+    pub steal_bound_s: f64,
+    /// How long a machine is held for a gang or a preempting job.
+    pub hold_s: f64,
+    /// Life of the leader's lease at the state service.
+    pub leader_life_s: f64,
+    /// An idle machine is returned after this.
+    pub idle_s: f64,
+    /// A backlog of arrays is given enough machines to be done within this.
+    pub drain_s: f64,
+}
+
+impl Default for Tunables {
+    fn default() -> Self {
+        Tunables {
+            t: 0.5,
+            tt_s: 10.0,
+            fetch_gb_per_s: 0.1,
+            steal_wait_ms: 1.0,
+            steal_bound_s: 10.0,
+            hold_s: 60.0,
+            leader_life_s: 4.0,
+            idle_s: 45.0,
+            drain_s: 40.0,
+        }
+    }
+}
+
+impl Tunables {
+    pub fn load(path: &Path) -> Result<Tunables, TunablesError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| TunablesError::Read { file: file.clone(), error })?;
+        Tunables::parse(&file, &text)
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Tunables, TunablesError> {
+        let tunables: Tunables = hcl::from_str(text).map_err(|error| TunablesError::Hcl {
+            file: file.into(),
+            problem: locate(text, &error.to_string()),
+        })?;
+        tunables.check(file)?;
+        Ok(tunables)
+    }
+
+    fn check(&self, file: &str) -> Result<(), TunablesError> {
+        let ranges = [
+            ("t", self.t, 0.0, 1e9),
+            ("tt_s", self.tt_s, 0.0, 1e6),
+            ("fetch_gb_per_s", self.fetch_gb_per_s, 1e-6, 1e6),
+            ("steal_wait_ms", self.steal_wait_ms, 0.1, 1e6),
+            ("steal_bound_s", self.steal_bound_s, 0.001, 1e4),
+            ("hold_s", self.hold_s, 0.0, 600.0),
+            ("leader_life_s", self.leader_life_s, 1.0, 60.0),
+            ("idle_s", self.idle_s, 0.0, 1e6),
+            ("drain_s", self.drain_s, 1.0, 1e6),
+        ];
+        for (name, value, low, high) in ranges {
+            if !(low..=high).contains(&value) {
+                return Err(TunablesError::Range { file: file.into(), name, low, high, value });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// An unknown key is reported without its place; the operator wants the line.
+fn locate(text: &str, problem: &str) -> String {
+    let one_line = problem.split_whitespace().collect::<Vec<_>>().join(" ");
+    let Some(name) = one_line.split('`').nth(1) else {
+        return one_line;
+    };
+    let place = text.lines().position(|line| {
+        line.trim_start().split(|c: char| !c.is_alphanumeric() && c != '_').next() == Some(name)
+    });
+    match place {
+        Some(at) => format!("line {}: {one_line}", at + 1),
+        None => one_line,
+    }
+}
