Requeue a task only once it is gone from every place on record

Cause: after a takeover two machine records listed the same task, one of them stale. A job now keeps all places of a task.

--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -195,7 +195,7 @@
             self.to_tell.insert(ix);
             return;
         }
-        let places: Vec<MachineIx> = work.out.values().map(|(ix, _)| *ix).collect();
+        let places: Vec<MachineIx> = work.out.values().flatten().map(|(ix, _)| *ix).collect();
         for ix in places {
             for binding in &mut self.machines[ix.at()].bindings {
                 if binding.job == Some(job) {
@@ -215,7 +215,7 @@
         if work.info.shape != Shape::Gang || work.done.full() {
             return;
         }
-        let places: Vec<MachineIx> = work.out.values().map(|(ix, _)| *ix).collect();
+        let places: Vec<MachineIx> = work.out.values().flatten().map(|(ix, _)| *ix).collect();
         for ix in places {
             for binding in &mut self.machines[ix.at()].bindings {
                 if binding.job == Some(job) && binding.halt.is_none() {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -146,8 +146,8 @@
     pub info: Arc<JobInfo>,
     /// Finished tasks, those included that are not durable yet.
     pub done: Bits,
-    /// Where each unfinished task may be.
-    pub out: HashMap<u32, (MachineIx, Attempt)>,
+    /// Where each unfinished task may be: after a takeover that can be several places.
+    pub out: HashMap<u32, Vec<(MachineIx, Attempt)>>,
     pub zones: HashMap<ZoneIx, u32>,
     /// Run times of finished tasks.
     pub runs: u32,
@@ -377,7 +377,7 @@
             let mut images = Vec::new();
             for binding in &self.machines[at].bindings {
                 if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
-                    work.out.insert(binding.task.task, (ix, binding.attempt));
+                    work.out.entry(binding.task.task).or_default().push((ix, binding.attempt));
                     *work.zones.entry(zone).or_default() += 1;
                     images.push(image_of(work));
                 }
@@ -541,7 +541,7 @@
             self.usage.entry(team).or_default().add(&binding.need);
         }
         if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
-            work.out.insert(binding.task.task, (ix, binding.attempt));
+            work.out.entry(binding.task.task).or_default().push((ix, binding.attempt));
             *work.zones.entry(machine.zone).or_default() += 1;
         }
         machine.bindings.push(binding);
@@ -561,7 +561,12 @@
             *used = used.less(&binding.need);
         }
         if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
-            work.out.remove(&binding.task.task);
+            if let Some(places) = work.out.get_mut(&binding.task.task) {
+                places.retain(|place| *place != (ix, binding.attempt));
+                if places.is_empty() {
+                    work.out.remove(&binding.task.task);
+                }
+            }
             if let Some(count) = work.zones.get_mut(&machine.zone) {
                 *count -= 1;
                 if *count == 0 {
@@ -603,7 +608,9 @@
         let Some(work) = self.work.get(&ix) else {
             return;
         };
-        if work.done.has(binding.task.task) {
+        // A record may still list a task that a later one shows elsewhere: gone from
+        // one place, it must not start again while it is at the other.
+        if work.done.has(binding.task.task) || work.out.contains_key(&binding.task.task) {
             return;
         }
         if work.info.together() || delay_ms > 0 {
