--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -34,7 +34,7 @@
 
     fn suiting(&self, work: &Work) -> Vec<MachineIx> {
         let all = (0..self.machines.len()).map(|at| MachineIx(at as u32));
-        all.filter(|ix| self.suits(*ix, work)).collect()
+        all.filter(|ix| !self.machines[ix.at()].parked && self.suits(*ix, work)).collect()
     }
 
     /// Time to fetch the image over the expected run time.
@@ -94,11 +94,16 @@
         self.place_gangs(clock);
         self.spread_backlog();
         self.spill(clock);
-        for at in 0..self.machines.len() {
-            let ix = MachineIx(at as u32);
-            if self.machines[at].open() && self.machines[at].held_for.is_none() {
-                self.fill(ix, clock);
-            }
+        let taking = |ix: &MachineIx| {
+            let machine = &self.machines[ix.at()];
+            machine.open() && !machine.parked && machine.held_for.is_none()
+        };
+        let mut order: Vec<MachineIx> = (0..self.machines.len()).map(|at| MachineIx(at as u32)).collect();
+        order.retain(taking);
+        // Cheap machines help themselves first, so that dear ones run empty.
+        order.sort_by(|a, b| self.price_per_cpu(*a).total_cmp(&self.price_per_cpu(*b)));
+        for ix in order {
+            self.fill(ix, clock);
         }
     }
 
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use super::{Leader, Life, Work};
-use crate::bookkeeping::ids::{JobIx, KindIx, MachineIx, Millis, Token, ZoneIx};
+use crate::bookkeeping::ids::{KindIx, MachineIx, Millis, Token, ZoneIx};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{BookingRecord, Key};
 use crate::coordination::budget::Budget;
 use crate::coordination::{AskId, Clock, Output};
 use crate::protocol::Outcome;
-use crate::protocol::cloud::{CloudReply, CloudRequest, Listed, ListedState, RELEASE_MOST, RENT_MOST};
+use crate::protocol::cloud::{CloudReply, CloudRequest, Listed, ListedState, RELEASE_MOST};
 
 /// One sort of machine that can be rented.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -124,7 +124,18 @@
         self.asked.insert(ask, (request, booking));
     }
 
-    fn on_the_way(&self, offer: Offer) -> u32 {
+    /// Rentals asked for whose answer is not there yet.
+    pub fn open_bookings(&self) -> BTreeMap<Offer, u32> {
+        let mut open = BTreeMap::new();
+        for booking in self.bookings.values() {
+            if !matches!(booking.stage, Stage::Rented { .. }) {
+                *open.entry(booking.offer).or_default() += booking.count;
+            }
+        }
+        open
+    }
+
+    pub fn on_the_way(&self, offer: Offer) -> u32 {
         let open =
             |booking: &&Booking| booking.offer == offer && !matches!(booking.stage, Stage::Rented { .. });
         self.bookings.values().filter(open).map(|booking| booking.count).sum()
@@ -339,33 +350,7 @@
         }
     }
 
-    /// How many machines of which sort the waiting work needs beyond those there.
-    fn plan_fleet(&mut self, clock: Clock, mirror: &Mirror) {
-        self.forget_bookings(clock);
-        if self.kinds.is_empty() {
-            return;
-        }
-        let mut plan = Plan::new(self, clock);
-        let mut jobs: Vec<(JobIx, &Work)> = self.work.iter().map(|(ix, work)| (*ix, work)).collect();
-        jobs.sort_by_key(|(_, work)| (!work.info.together(), work.info.urgency, work.info.seq));
-        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
-        for (ix, work) in jobs {
-            if work.info.together() {
-                plan.gang(self, ix, work, clock, &mut wanted);
-            } else {
-                plan.array(self, work, clock, &mut wanted);
-            }
-        }
-        self.fleet.needed = plan.used;
-        for (offer, count) in wanted {
-            let open = self.fleet.on_the_way(offer);
-            if count > open {
-                self.book(offer, (count - open).min(RENT_MOST), mirror);
-            }
-        }
-    }
-
-    fn forget_bookings(&mut self, clock: Clock) {
+    pub fn forget_bookings(&mut self, clock: Clock) {
         let shown = 3 * self.settings.list_lag_ms;
         let old =
             |booking: &Booking| matches!(booking.stage, Stage::Rented { at } if clock.now.since(at) > shown);
@@ -382,7 +367,7 @@
         }
     }
 
-    fn book(&mut self, offer: Offer, count: u32, mirror: &Mirror) {
+    pub fn book(&mut self, offer: Offer, count: u32, mirror: &Mirror) {
         self.fleet.counter += 1;
         // The token makes the name this leader's own: no other can ever use it again.
         let name = format!("r-{}-{}", self.fleet.token.0, self.fleet.counter);
@@ -439,7 +424,7 @@
         }
     }
 
-    fn best_offer(&self, work: &Work, clock: Clock) -> Option<Offer> {
+    pub fn best_offer(&self, work: &Work, clock: Clock) -> Option<Offer> {
         let mut best: Option<(f64, Offer)> = None;
         for (kind_ix, kind) in &self.kinds {
             let slots = work.info.need.count_in(&kind.size).min(1_000_000);
@@ -470,168 +455,3 @@
         best.map(|(_, offer)| offer)
     }
 }
-
-/// What the machines there, and those on their way, can still do within the drain time:
-/// CPU milliseconds for arrays, whole machines for gangs.
-struct Plan {
-    work: HashMap<MachineIx, u64>,
-    used: HashSet<MachineIx>,
-    taken: HashSet<MachineIx>,
-    booked: BTreeMap<Offer, u32>,
-    drain_ms: u64,
-}
-
-impl Plan {
-    fn new(leader: &Leader, clock: Clock) -> Plan {
-        let drain_ms = (leader.tunables.drain_s * 1000.0) as u64;
-        let mut work = HashMap::new();
-        for (at, machine) in leader.machines.iter().enumerate() {
-            let ix = MachineIx(at as u32);
-            let usable = match machine.life {
-                Life::Up => machine.open(),
-                Life::Booting => !machine.returning,
-                Life::Silent | Life::Gone => false,
-            };
-            if !usable {
-                continue;
-            }
-            let left: u64 = machine.bindings.iter().map(|binding| leader.left_cpu_ms(binding, clock)).sum();
-            work.insert(ix, (machine.size.cpu * drain_ms / 1000).saturating_sub(left));
-        }
-        let mut booked: BTreeMap<Offer, u32> = BTreeMap::new();
-        for booking in leader.fleet.bookings.values() {
-            if !matches!(booking.stage, Stage::Rented { .. }) {
-                *booked.entry(booking.offer).or_default() += booking.count;
-            }
-        }
-        Plan { work, used: HashSet::new(), taken: HashSet::new(), booked, drain_ms }
-    }
-
-    fn gang(
-        &mut self,
-        leader: &Leader,
-        ix: JobIx,
-        work: &Work,
-        clock: Clock,
-        wanted: &mut BTreeMap<Offer, u32>,
-    ) {
-        if !leader.gangs.contains(&super::queues::Rank::of(ix, &work.info)) {
-            return;
-        }
-        let mut missing = u64::from(work.left()).saturating_sub(work.out.len() as u64);
-        for (at, machine) in leader.machines.iter().enumerate() {
-            let at = MachineIx(at as u32);
-            if missing == 0 || self.taken.contains(&at) || !self.work.contains_key(&at) {
-                continue;
-            }
-            let held = machine.held_for.is_some_and(|(job, _)| job == ix);
-            let free = if held { machine.size } else { machine.free() };
-            let slots = work.info.need.count_in(&free);
-            if slots > 0 && work.info.allows(machine.kind, machine.zone, machine.spot) {
-                missing = missing.saturating_sub(slots);
-                self.taken.insert(at);
-                self.used.insert(at);
-                self.work.insert(at, 0);
-            }
-        }
-        self.use_bookings(leader, work, &mut missing, wanted);
-        while missing > 0 {
-            let Some(offer) = leader.best_offer(work, clock) else {
-                return;
-            };
-            let Some(kind) = leader.kinds.get(&offer.kind) else {
-                return;
-            };
-            let slots = work.info.need.count_in(&kind.size).max(1);
-            missing = missing.saturating_sub(slots);
-            *wanted.entry(offer).or_default() += 1;
-        }
-    }
-
-    /// Machines asked for already count as coming.
-    fn use_bookings(
-        &mut self,
-        leader: &Leader,
-        work: &Work,
-        missing: &mut u64,
-        wanted: &mut BTreeMap<Offer, u32>,
-    ) {
-        for (offer, count) in &mut self.booked {
-            let Some(kind) = leader.kinds.get(&offer.kind) else {
-                continue;
-            };
-            let slots = work.info.need.count_in(&kind.size);
-            if slots == 0 || !work.info.allows(offer.kind, offer.zone, offer.spot) {
-                continue;
-            }
-            while *missing > 0 && *count > 0 {
-                *count -= 1;
-                *missing = missing.saturating_sub(slots);
-                *wanted.entry(*offer).or_default() += 1;
-            }
-        }
-    }
-
-    fn array(&mut self, leader: &Leader, work: &Work, clock: Clock, wanted: &mut BTreeMap<Offer, u32>) {
-        let waiting = u64::from(work.left()).saturating_sub(work.out.len() as u64);
-        if waiting == 0 {
-            return;
-        }
-        let cpu = work.info.need.cpu.max(1);
-        let each = cpu * work.length_ms().max(1) / 1000;
-        let mut left = waiting * each;
-        for (at, machine) in leader.machines.iter().enumerate() {
-            let ix = MachineIx(at as u32);
-            let Some(room) = self.work.get_mut(&ix) else {
-                continue;
-            };
-            let fits = work.info.need.fits(&machine.size);
-            if left == 0 || *room == 0 || !fits || !work.info.allows(machine.kind, machine.zone, machine.spot)
-            {
-                continue;
-            }
-            let part = left.min(*room);
-            *room -= part;
-            left -= part;
-            self.used.insert(ix);
-        }
-        let mut machines = 0;
-        for (offer, count) in &mut self.booked {
-            let Some(kind) = leader.kinds.get(&offer.kind) else {
-                continue;
-            };
-            if !work.info.need.fits(&kind.size) || !work.info.allows(offer.kind, offer.zone, offer.spot) {
-                continue;
-            }
-            while left > 0 && *count > 0 {
-                *count -= 1;
-                left = left.saturating_sub(kind.size.cpu * self.drain_ms / 1000);
-                *wanted.entry(*offer).or_default() += 1;
-            }
-        }
-        while left > 0 && machines < 50 {
-            let Some(offer) = leader.best_offer(work, clock) else {
-                return;
-            };
-            let Some(kind) = leader.kinds.get(&offer.kind) else {
-                return;
-            };
-            let does = (kind.size.cpu * self.drain_ms / 1000).max(1);
-            // What is left over of the last machine serves the next job.
-            left = left.saturating_sub(does);
-            machines += 1;
-            *wanted.entry(offer).or_default() += 1;
-        }
-    }
-}
-
-impl Leader {
-    /// CPU milliseconds that a task still needs, as far as can be told.
-    fn left_cpu_ms(&self, binding: &super::Binding, clock: Clock) -> u64 {
-        let Some(work) = binding.job.and_then(|job| self.work.get(&job)) else {
-            return 0;
-        };
-        let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
-        binding.need.cpu * work.length_ms().saturating_sub(ran).max(1000) / 1000
-    }
-}
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod gangs;
 pub mod orders;
+pub mod plan;
 pub mod queues;
 pub mod reports;
 pub mod writer;
@@ -18,8 +19,8 @@
 use super::Clock;
 use crate::bookkeeping::bits::Bits;
 use crate::bookkeeping::ids::{
-    Amount, Attempt, ImageIx, JobId, JobIx, KindIx, MachineIx, Millis, Session, TaskRef, TeamIx, Token,
-    ZoneIx, milli_down,
+    Amount, Attempt, ClassIx, ImageIx, JobId, JobIx, KindIx, MachineIx, Millis, Session, TaskRef, TeamIx,
+    Token, ZoneIx, milli_down,
 };
 use crate::bookkeeping::jobs::JobInfo;
 use crate::bookkeeping::mirror::Mirror;
@@ -117,6 +118,8 @@
     pub idle_since: Millis,
     pub errors: BTreeSet<JobId>,
     pub sick: bool,
+    /// Not needed: takes no queued tasks, so that it runs empty.
+    pub parked: bool,
     /// Times of the tasks it finished within the last minute.
     pub finishes: Vec<Millis>,
 }
@@ -206,6 +209,8 @@
     pub usage: HashMap<TeamIx, Amount>,
     teams: HashMap<TeamIx, Team>,
     pub kinds: BTreeMap<KindIx, Kind>,
+    /// Within what time a class's jobs should be done, by the settings' objectives.
+    pub aims: HashMap<ClassIx, u64>,
     /// Ready tasks that no present machine may take.
     pub backlog: Queue,
     /// Tasks that wait before they are tried again.
@@ -252,6 +257,7 @@
             usage: HashMap::new(),
             teams: HashMap::new(),
             kinds: BTreeMap::new(),
+            aims: HashMap::new(),
             backlog: Queue::default(),
             delayed: BTreeMap::new(),
             gangs: BTreeSet::new(),
@@ -268,6 +274,15 @@
         for team in &settings.teams {
             leader.teams.insert(mirror.names.teams.intern(&team.name), team.clone());
         }
+        for objective in &settings.objectives {
+            if let ("finished", Some(class), Some(within)) =
+                (objective.kind.as_str(), &objective.jobclass, objective.within_s)
+            {
+                let class = mirror.names.classes.intern(class);
+                let aim = leader.aims.entry(class).or_insert(u64::MAX);
+                *aim = (*aim).min((within * 1000.0) as u64);
+            }
+        }
         leader.learn_kinds(mirror);
         leader.inherit_machines(mirror, clock);
         leader.fleet.inherit_bookings(mirror);
@@ -528,6 +543,7 @@
             idle_since: clock.now,
             errors: BTreeSet::new(),
             sick: false,
+            parked: false,
             finishes: Vec::new(),
         });
         ix
--- /dev/null
+++ b/src/coordination/leader/plan.rs
@@ -0,0 +1,270 @@
+//! How much of the fleet the work needs, by when the jobs should be done.
+//!
+//! Jobs are laid onto the machines in the order of their aims, cheapest machines
+//! first. What is left over is rented; machines that nothing was laid on are parked:
+//! they take no queued tasks, so that they run empty and can be returned.
+
+use std::collections::{BTreeMap, HashSet};
+
+use super::fleet::Offer;
+use super::queues::Rank;
+use super::{Leader, Life, Work};
+use crate::bookkeeping::ids::{JobIx, MachineIx};
+use crate::bookkeeping::mirror::Mirror;
+use crate::coordination::Clock;
+use crate::protocol::cloud::RENT_MOST;
+
+/// Never plan for less than that, however late a job is already.
+const LEAST_MS: u64 = 10_000;
+/// Machines one plan may add for a single job.
+const MOST_ADDED: u32 = 50;
+
+/// A machine as the plan sees it.
+struct Place {
+    ix: MachineIx,
+    price: f64,
+    cpu: u64,
+    /// Not usable before that.
+    delay_ms: u64,
+    /// CPU milliseconds already spoken for.
+    taken: u64,
+    spot: bool,
+}
+
+impl Place {
+    fn room(&self, horizon_ms: u64) -> u64 {
+        (self.cpu * horizon_ms.saturating_sub(self.delay_ms) / 1000).saturating_sub(self.taken)
+    }
+}
+
+struct Plan<'a> {
+    leader: &'a Leader,
+    clock: Clock,
+    places: Vec<Place>,
+    used: HashSet<MachineIx>,
+    gang_taken: HashSet<MachineIx>,
+    booked: BTreeMap<Offer, u32>,
+    /// Work that one more machine of an offer, wanted already, can still take.
+    spare: BTreeMap<Offer, u64>,
+    wanted: BTreeMap<Offer, u32>,
+    /// CPU milliseconds laid onto ordinary machines that spot ones could do as well.
+    dear: u64,
+}
+
+impl Leader {
+    /// How many machines of which sort the waiting work needs beyond those there.
+    pub fn plan_fleet(&mut self, clock: Clock, mirror: &Mirror) {
+        self.forget_bookings(clock);
+        if self.kinds.is_empty() {
+            return;
+        }
+        let mut plan = Plan::new(self, clock);
+        plan.lay_out();
+        let (used, wanted) = (plan.used, plan.wanted);
+        self.park(&used);
+        self.fleet.needed = used;
+        for (offer, count) in wanted {
+            let open = self.fleet.on_the_way(offer);
+            if count > open {
+                self.book(offer, (count - open).min(RENT_MOST), mirror);
+            }
+        }
+    }
+
+    fn park(&mut self, used: &HashSet<MachineIx>) {
+        for at in 0..self.machines.len() {
+            let ix = MachineIx(at as u32);
+            let parked = !used.contains(&ix);
+            if parked == self.machines[at].parked {
+                continue;
+            }
+            self.machines[at].parked = parked;
+            self.stirred = true;
+            if parked {
+                self.spread_queues(ix);
+            }
+        }
+    }
+
+    /// Until when, from now, a job should be through, by its class's aim or its deadline.
+    pub fn time_left_ms(&self, work: &Work, clock: Clock) -> u64 {
+        let age = clock.wall_ms.saturating_sub(work.info.accepted_wall_ms);
+        let due = work.info.due_wall_ms.map(|due| due.saturating_sub(clock.wall_ms));
+        let aim = self.aims.get(&work.info.class).map(|aim| aim.saturating_sub(age));
+        let fallback = (self.tunables.drain_s * 1000.0) as u64 + work.length_ms();
+        due.into_iter().chain(aim).min().unwrap_or(fallback)
+    }
+
+    /// CPU milliseconds that a task still needs, as far as can be told.
+    pub fn left_cpu_ms(&self, binding: &super::Binding, clock: Clock) -> u64 {
+        let Some(work) = binding.job.and_then(|job| self.work.get(&job)) else { return 0 };
+        let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
+        binding.need.cpu * work.length_ms().saturating_sub(ran).max(1000) / 1000
+    }
+
+    pub fn price_per_cpu(&self, ix: MachineIx) -> f64 {
+        let machine = &self.machines[ix.at()];
+        let Some(kind) = self.kinds.get(&machine.kind) else { return f64::MAX };
+        let price = if machine.spot { kind.spot_price.unwrap_or(kind.price) } else { kind.price };
+        price / kind.size.cpu.max(1) as f64
+    }
+}
+
+impl<'a> Plan<'a> {
+    fn new(leader: &'a Leader, clock: Clock) -> Plan<'a> {
+        let mut places = Vec::new();
+        for (at, machine) in leader.machines.iter().enumerate() {
+            let ix = MachineIx(at as u32);
+            let kind = leader.kinds.get(&machine.kind);
+            let boot = kind.map_or(0, |kind| kind.boot_ms);
+            let delay_ms = match machine.life {
+                Life::Up if machine.open() || !machine.confirmed => 0,
+                // Later than usual: nobody should count on it for long.
+                Life::Booting if !machine.returning && clock.now.since(machine.since) < 3 * boot + 10_000 => {
+                    boot.saturating_sub(clock.now.since(machine.since)).max(5_000)
+                }
+                _ => continue,
+            };
+            let taken = machine.bindings.iter().map(|binding| leader.left_cpu_ms(binding, clock)).sum();
+            places.push(Place {
+                ix,
+                price: leader.price_per_cpu(ix),
+                cpu: machine.size.cpu,
+                delay_ms,
+                taken,
+                spot: machine.spot,
+            });
+        }
+        places.sort_by(|a, b| a.price.total_cmp(&b.price).then(a.ix.cmp(&b.ix)));
+        Plan {
+            leader,
+            clock,
+            places,
+            used: HashSet::new(),
+            gang_taken: HashSet::new(),
+            booked: leader.fleet.open_bookings(),
+            spare: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            dear: 0,
+        }
+    }
+
+    fn lay_out(&mut self) {
+        let leader = self.leader;
+        let mut jobs: Vec<(bool, u64, JobIx, &Work)> = leader
+            .work
+            .iter()
+            .map(|(ix, work)| (!work.info.together(), leader.time_left_ms(work, self.clock), *ix, work))
+            .collect();
+        jobs.sort_by_key(|(array, left, ix, work)| (*array, work.info.urgency, *left, *ix));
+        for (array, left, ix, work) in jobs {
+            if array {
+                self.array(work, left);
+            } else {
+                self.gang(ix, work);
+            }
+        }
+    }
+
+    fn gang(&mut self, ix: JobIx, work: &Work) {
+        let leader = self.leader;
+        if !leader.gangs.contains(&Rank::of(ix, &work.info)) {
+            return;
+        }
+        let mut missing = u64::from(work.left()).saturating_sub(work.out.len() as u64);
+        for place in &mut self.places {
+            let machine = &leader.machines[place.ix.at()];
+            if missing == 0 || self.gang_taken.contains(&place.ix) {
+                continue;
+            }
+            let held = machine.held_for.is_some_and(|(job, _)| job == ix);
+            let free = if held { machine.size } else { machine.free() };
+            let slots = work.info.need.count_in(&free);
+            if slots > 0 && work.info.allows(machine.kind, machine.zone, machine.spot) {
+                missing = missing.saturating_sub(slots);
+                self.gang_taken.insert(place.ix);
+                self.used.insert(place.ix);
+                let busy = work.info.need.times(slots.min(u64::from(work.info.tasks)));
+                place.taken += busy.cpu * work.length_ms() / 1000;
+            }
+        }
+        self.use_booked(work, &mut missing, |kind| work.info.need.count_in(&kind.size));
+        while missing > 0 {
+            let Some(offer) = leader.best_offer(work, self.clock) else { return };
+            let Some(kind) = leader.kinds.get(&offer.kind) else { return };
+            missing = missing.saturating_sub(work.info.need.count_in(&kind.size).max(1));
+            *self.wanted.entry(offer).or_default() += 1;
+        }
+    }
+
+    /// Machines asked for already count as coming.
+    fn use_booked(&mut self, work: &Work, missing: &mut u64, gives: impl Fn(&super::Kind) -> u64) {
+        for (offer, count) in &mut self.booked {
+            let Some(kind) = self.leader.kinds.get(&offer.kind) else { continue };
+            let fits = work.info.need.fits(&kind.size);
+            if !fits || !work.info.allows(offer.kind, offer.zone, offer.spot) {
+                continue;
+            }
+            while *missing > 0 && *count > 0 {
+                *count -= 1;
+                *missing = missing.saturating_sub(gives(kind).max(1));
+                *self.wanted.entry(*offer).or_default() += 1;
+            }
+        }
+    }
+
+    fn array(&mut self, work: &Work, left_ms: u64) {
+        let leader = self.leader;
+        let waiting = u64::from(work.left()).saturating_sub(work.out.len() as u64);
+        // Machines that run its tasks go on being needed.
+        for (ix, _) in work.out.values().flatten() {
+            self.used.insert(*ix);
+        }
+        if waiting == 0 {
+            return;
+        }
+        let haste = leader.tunables.haste;
+        let length = work.length_ms().max(1);
+        let horizon = ((left_ms as f64 * haste) as u64).saturating_sub(length).max(LEAST_MS.max(length / 2));
+        let cpu = work.info.need.cpu.max(1);
+        let mut left = waiting * cpu * length / 1000;
+        for place in &mut self.places {
+            let machine = &leader.machines[place.ix.at()];
+            let fits = work.info.need.fits(&machine.size);
+            if left == 0 || !fits || !work.info.allows(machine.kind, machine.zone, machine.spot) {
+                continue;
+            }
+            let part = left.min(place.room(horizon));
+            if part > 0 {
+                place.taken += part;
+                left -= part;
+                self.used.insert(place.ix);
+                if !place.spot && work.info.spot {
+                    self.dear += part;
+                }
+            }
+        }
+        // New machines come late: what they cannot do in time they do after it.
+        let does = |kind: &super::Kind| {
+            (kind.size.cpu * horizon.saturating_sub(kind.boot_ms).max(length) / 1000).max(1)
+        };
+        for (offer, spare) in &mut self.spare {
+            if work.info.allows(offer.kind, offer.zone, offer.spot) {
+                let part = left.min(*spare);
+                *spare -= part;
+                left -= part;
+            }
+        }
+        self.use_booked(work, &mut left, does);
+        let mut added = 0;
+        while left > 0 && added < MOST_ADDED {
+            let Some(offer) = leader.best_offer(work, self.clock) else { return };
+            let Some(kind) = leader.kinds.get(&offer.kind) else { return };
+            let part = left.min(does(kind));
+            *self.spare.entry(offer).or_default() += does(kind) - part;
+            left -= part;
+            added += 1;
+            *self.wanted.entry(offer).or_default() += 1;
+        }
+    }
+}
--- a/src/tunables.rs
+++ b/src/tunables.rs
@@ -35,8 +35,10 @@
     pub leader_life_s: f64,
     /// An idle machine is returned after this.
     pub idle_s: f64,
-    /// A backlog of arrays is given enough machines to be done within this.
+    /// Jobs of a class without an aim should be done within this and a run time.
     pub drain_s: f64,
+    /// Part of the time to a job's aim within which its tasks should all have started.
+    pub haste: f64,
 }
 
 impl Default for Tunables {
@@ -51,6 +53,7 @@
             leader_life_s: 4.0,
             idle_s: 45.0,
             drain_s: 40.0,
+            haste: 0.6,
         }
     }
 }
@@ -83,6 +86,7 @@
             ("leader_life_s", self.leader_life_s, 1.0, 60.0),
             ("idle_s", self.idle_s, 0.0, 1e6),
             ("drain_s", self.drain_s, 1.0, 1e6),
+            ("haste", self.haste, 0.05, 1.0),
         ];
         for (name, value, low, high) in ranges {
             if !(low..=high).contains(&value) {
