--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -393,13 +393,20 @@
 
     /// Machines that nobody needs, that never came up or that went silent are returned.
     fn return_idle(&mut self, clock: Clock) {
-        let idle_ms = (self.tunables.idle_s * 1000.0) as u64;
+        // What is cheap may wait longer for the next job.
+        let prices = self.kinds.values().flat_map(|kind| {
+            let per_cpu = |price: f64| price / kind.size.cpu.max(1) as f64;
+            [Some(kind.price), kind.spot_price].into_iter().flatten().map(per_cpu)
+        });
+        let cheapest = prices.fold(f64::MAX, f64::min);
         for at in 0..self.machines.len() {
             let ix = MachineIx(at as u32);
             let machine = &self.machines[at];
             if machine.returning || machine.life == Life::Gone || !machine.bindings.is_empty() {
                 continue;
             }
+            let dear = (cheapest / self.price_per_cpu(ix)).clamp(0.0, 1.0);
+            let idle_ms = (self.tunables.idle_s * 1000.0 * dear) as u64;
             let age = clock.now.since(machine.since);
             let boot = self.kinds.get(&machine.kind).map_or(60_000, |kind| kind.boot_ms);
             let idle = clock.now.since(machine.idle_since);
--- a/src/tunables.rs
+++ b/src/tunables.rs
@@ -53,7 +53,7 @@
             leader_life_s: 4.0,
             idle_s: 45.0,
             drain_s: 40.0,
-            haste: 0.6,
+            haste: 0.5,
         }
     }
 }
