A leader out of its workers' reach resigns; a node refused alone is not ready

Cause: a leader cut off from the network but not from the state service kept renewing its lease while every worker's lease ran out. Controllers now beat once a second over the mesh: is the state service answering, how many of the leader's workers turned up here. Silence of all workers, or of some that are seen elsewhere, makes the leader give its lease back and name a successor.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -181,6 +181,7 @@
             return;
         };
         let info = work.info.clone();
+        log::debug!("{}/{task} bound to {}", info.id, ix.0);
         self.touch_image(ix, info.image, info.image_mb);
         let binding = Binding {
             task: TaskRef { job: info.id, task },
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use super::plan::PAID_MS;
 use super::{Leader, Life, Work};
 use crate::bookkeeping::ids::{KindIx, MachineIx, Millis, Token, ZoneIx};
 use crate::bookkeeping::mirror::Mirror;
@@ -69,8 +70,6 @@
 const CLOUD_TIMEOUT_MS: u64 = 5_000;
 /// Asks of the fleet are told apart from those of the ledger by this bit.
 const FLEET_ASK: u64 = 1 << 62;
-/// A rented machine is paid for at least that long.
-const PAID_MS: u64 = 60_000;
 /// A machine that takes so many times its usual boot time never comes up.
 const BOOT_PATIENCE: u64 = 4;
 
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -691,6 +691,14 @@
         }
     }
 
+    /// Workers that reported to us and should still, and how many of them are overdue.
+    pub fn silent_workers(&self, now: Millis) -> (usize, usize) {
+        let patience = self.settings.workers.report_ms * 9 / 4 + 500;
+        let ours = self.machines.iter().filter(|m| m.life == Life::Up && m.confirmed);
+        let waits = ours.filter_map(|m| m.answered).map(|at| now.since(at) > patience);
+        waits.fold((0, 0), |(all, silent), over| (all + 1, silent + usize::from(over)))
+    }
+
     /// Machines whose worker's lease has certainly run out: nothing is on them.
     pub fn expire(&mut self, clock: Clock) {
         let lease = self.settings.workers.lease_ms;
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/plan.rs
@@ -16,6 +16,8 @@
 
 /// Never plan for less than that, however late a job is already.
 const LEAST_MS: u64 = 10_000;
+/// A rented machine is paid for at least that long.
+pub const PAID_MS: u64 = 60_000;
 /// Machines one plan may add for a single job.
 const MOST_ADDED: u32 = 50;
 
@@ -244,9 +246,11 @@
                 }
             }
         }
-        // New machines come late: what they cannot do in time they do after it.
+        // New machines come late, and are paid for a minute at least: unless there is work
+        // for that long, the machines there are the better choice.
         let does = |kind: &super::Kind| {
-            (kind.size.cpu * horizon.saturating_sub(kind.boot_ms).max(length) / 1000).max(1)
+            let usable = horizon.max(PAID_MS).saturating_sub(kind.boot_ms).max(length);
+            (kind.size.cpu * usable / 1000).max(1)
         };
         for (offer, spare) in &mut self.spare {
             if work.info.allows(offer.kind, offer.zone, offer.spot) {
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -136,6 +136,9 @@
             (Some(at), state) => {
                 let binding = &mut self.machines[ix.at()].bindings[at];
                 binding.run = Run::Seen;
+                if binding.state != Some(state) {
+                    log::debug!("{} {:?} on {}", piece.task, state, ix.0);
+                }
                 binding.state = Some(state);
                 binding.late = false;
                 if state == TaskState::Running && binding.running_since.is_none() {
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -30,6 +30,10 @@
     renewed: Millis,
     asking: bool,
     last_ask: Millis,
+    /// After resigning, others come first.
+    rest_until: Millis,
+    /// Since when nobody leads, as far as the mirror shows.
+    vacant_since: Option<Millis>,
 }
 
 /// What a reply changed.
@@ -49,6 +53,8 @@
             renewed: Millis::default(),
             asking: false,
             last_ask: Millis::default(),
+            rest_until: Millis::default(),
+            vacant_since: None,
         }
     }
 
@@ -80,13 +86,40 @@
         self.phase = Phase::Follower;
     }
 
-    pub fn tick(&mut self, clock: Clock, mirror: &Mirror, ledger: &mut Ledger, out: &mut Vec<Output>) {
+    /// Gives the lease back, so that another node can lead at once, and rests.
+    pub fn resign(&mut self, clock: Clock, ledger: &mut Ledger, out: &mut Vec<Output>) {
+        if let Phase::Leading { lease, .. } = self.phase {
+            ledger.ask_first(clock, StateRequest::Revoke { lease }, out);
+        }
+        self.phase = Phase::Follower;
+        self.rest_until = clock.now.plus(REST_MS);
+    }
+
+    pub fn tick(
+        &mut self,
+        clock: Clock,
+        favoured: bool,
+        mirror: &Mirror,
+        ledger: &mut Ledger,
+        out: &mut Vec<Output>,
+    ) {
+        if mirror.leader.is_some() || ledger.fresh.is_none() {
+            self.vacant_since = None;
+        } else {
+            self.vacant_since.get_or_insert(clock.now);
+        }
         if self.asking || !ledger.loaded {
             return;
         }
         match self.phase {
             Phase::Follower => {
-                let free = mirror.leader.is_none() && ledger.fresh.is_some() && ledger.reachable();
+                let vacant = self.vacant_since.map_or(0, |since| clock.now.since(since) + 1);
+                let wait = match (favoured, clock.now < self.rest_until) {
+                    (true, _) => 0,
+                    (false, true) => REST_MS,
+                    (false, false) => FAVOUR_MS,
+                };
+                let free = vacant > wait && ledger.reachable();
                 if free && clock.now.since(self.last_ask) >= RETRY_MS {
                     self.phase = Phase::Granting;
                     self.renewed = clock.now;
@@ -160,5 +193,9 @@
     }
 }
 
+/// The node that the last leader favoured gets this much of a start.
+const FAVOUR_MS: u64 = 200;
+/// A node that resigned leaves it to others for so long.
+const REST_MS: u64 = 5_000;
 /// Between two tries to become leader.
 const RETRY_MS: u64 = 300;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod leadership;
 pub mod ledger;
 pub mod node;
+pub mod peers;
 pub mod users;
 
 use crate::bookkeeping::ids::{Millis, Session};
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -8,6 +8,7 @@
 use super::leader::reports::Verdict;
 use super::leadership::{Leadership, Turn};
 use super::ledger::{Answered, Ledger, Purpose};
+use super::peers::Peers;
 use super::users::Users;
 use super::{AskId, CallId, Clock, Input, Output};
 use crate::bookkeeping::ids::{JobId, Millis, Revision, Token};
@@ -27,6 +28,11 @@
 const STALE_MS: u64 = 2_500;
 const DIRECT_TIMEOUT_MS: u64 = 2_500;
 const CATALOG_RETRY_MS: u64 = 3_000;
+/// Refusals of the state service for so long are no hiccup.
+const ALONE_MS: u64 = 1_500;
+/// A new leader first lets its workers find it.
+const SETTLE_MS: u64 = 8_000;
+const FAVOURED_MS: u64 = 3_000;
 const DIRECT_ASK: u64 = 1 << 63;
 const CATALOG_ASK: AskId = AskId((1 << 63) - 1);
 
@@ -45,11 +51,15 @@
     next_direct: u64,
     catalog_next: Millis,
     highest_token: Token,
+    peers: Peers,
+    others: Vec<String>,
+    now: Millis,
 }
 
 impl Node {
     pub fn new(settings: Settings, tunables: Tunables, seed: u64, clock: Clock) -> Node {
         let life_ms = (tunables.leader_life_s * 1000.0) as u64;
+        let others = settings.others.iter().map(|other| other.node.clone()).collect();
         Node {
             leadership: Leadership::new(&settings.node, life_ms),
             ledger: Ledger::new(settings.state_limits, settings.nodes, clock.now),
@@ -64,12 +74,19 @@
             next_direct: DIRECT_ASK,
             catalog_next: Millis::default(),
             highest_token: Token(0),
+            peers: Peers::default(),
+            others,
+            now: clock.now,
         }
     }
 
     /// Can this node take users' requests?
+    /// A node that alone is refused by the state service sends its users elsewhere; in an
+    /// outage for all, nodes keep their place in the balancer, so that recovery is quick.
     pub fn ready(&self) -> bool {
-        self.ledger.loaded && !self.mirror.kinds.is_empty()
+        let trouble = self.ledger.failing_since.map_or(0, |since| self.now.since(since));
+        let alone = trouble > ALONE_MS && self.peers.any_state_ok(self.now);
+        self.ledger.loaded && !self.mirror.kinds.is_empty() && !alone
     }
 
     pub fn leads(&self) -> bool {
@@ -78,6 +95,7 @@
 
     pub fn handle(&mut self, clock: Clock, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
+        self.now = clock.now;
         match input {
             Input::Tick => {}
             Input::User { call, request } => {
@@ -87,7 +105,7 @@
             Input::State { ask, outcome } => self.state_answered(clock, ask, &outcome, &mut out),
             Input::Cloud { ask, outcome } => self.cloud_answered(clock, ask, &outcome),
             Input::Orders { ask, outcome } => self.orders_answered(clock, ask, &outcome),
-            Input::Mesh { node, message } => self.mesh(&node, &message),
+            Input::Mesh { node, message } => self.mesh(clock, &node, &message),
         }
         self.step(clock, &mut out);
         out
@@ -97,13 +115,16 @@
     fn step(&mut self, clock: Clock, out: &mut Vec<Output>) {
         let leads = self.leader.is_some() || self.taking_over.is_some();
         let due = if leads { LEADER_POLL_MS } else { FOLLOWER_POLL_MS };
-        self.leadership.tick(clock, &self.mirror, &mut self.ledger, out);
-        let wanted = self.users.wants_barrier() || self.taking_over.is_some();
+        let favoured = clock.now < self.peers.favoured_until;
+        self.leadership.tick(clock, favoured, &self.mirror, &mut self.ledger, out);
+        let wanted = self.users.wants_barrier() || self.taking_over.is_some() || favoured;
         self.ledger.keep_fresh(clock, wanted, due, &self.mirror, out);
         self.users.expire(clock, self.ledger.reachable(), out);
         let ops = self.settings.state_limits.txn_ops;
         self.users.write(clock, ops, &mut self.ledger, out);
         self.learn_catalog(clock, out);
+        self.peers.beat(clock.now, &self.others, self.ledger.reachable(), out);
+        self.consider_resigning(clock, out);
         self.lead(clock, out);
     }
 
@@ -142,6 +163,32 @@
         }
     }
 
+    /// A leader that its workers cannot reach keeps nobody else from leading: without
+    /// this, a node cut off from the network but not from the state service would renew
+    /// its lease while every worker's lease runs out.
+    fn consider_resigning(&mut self, clock: Clock, out: &mut Vec<Output>) {
+        let Some(leader) = &self.leader else { return };
+        if self.others.is_empty() || clock.now.since(leader.acquired) < SETTLE_MS {
+            return;
+        }
+        let (all, silent) = leader.silent_workers(clock.now);
+        if silent < 2 {
+            return;
+        }
+        let best = self.peers.best_placed(clock.now);
+        let strays = best.as_ref().map_or(0, |(_, strays)| *strays as usize);
+        let elsewhere = silent * 7 >= all && strays * 10 >= silent * 6;
+        if silent < all && !elsewhere {
+            return;
+        }
+        log::info!("resigns: {silent} of {all} workers are silent, {strays} of them seen elsewhere");
+        if let Some((node, _)) = best {
+            out.push(Output::Mesh { node, message: MeshMessage::Yield });
+        }
+        self.leadership.resign(clock, &mut self.ledger, out);
+        self.step_down();
+    }
+
     /// Entitled: the lease is certainly ours and the mirror is fresh.
     fn may_run(&self, clock: Clock) -> bool {
         let fresh = self.ledger.fresh.is_some_and(|fresh| clock.now.since(fresh) < STALE_MS);
@@ -173,7 +220,10 @@
             };
         }
         match &self.mirror.leader {
-            Some(leader) if leader.node != self.settings.node => elsewhere(Some(&leader.node)),
+            Some(leader) if leader.node != self.settings.node => {
+                self.peers.stray(clock.now, &report.machine);
+                elsewhere(Some(&leader.node))
+            }
             _ => Answer::later("no leader", 1),
         }
     }
@@ -346,6 +396,7 @@
             leader.machines.len()
         );
         self.leader = Some(leader);
+        self.peers.not_stray();
     }
 
     fn cloud_answered(&mut self, clock: Clock, ask: AskId, outcome: &Outcome) {
@@ -395,8 +446,16 @@
         leader.direct_outcome(&direct, verdict, clock);
     }
 
-    fn mesh(&mut self, node: &str, message: &MeshMessage) {
+    fn mesh(&mut self, clock: Clock, node: &str, message: &MeshMessage) {
         match message {
+            MeshMessage::Beat { state_ok, strays } => {
+                self.peers.heard(clock.now, node, *state_ok, *strays);
+            }
+            MeshMessage::Yield => {
+                log::info!("{node} would like this node to lead");
+                self.peers.favoured_until = clock.now.plus(FAVOURED_MS);
+                self.ledger.look_now();
+            }
             MeshMessage::Hello { .. } => {}
             MeshMessage::Poke { revision } => {
                 log::debug!("{node} has written revision {revision}");
--- /dev/null
+++ b/src/coordination/peers.rs
@@ -0,0 +1,79 @@
+//! What the other controllers say of themselves, and what follows from it:
+//! is a node alone in its trouble, and who is better placed to lead?
+
+use std::collections::HashMap;
+
+use super::Output;
+use crate::bookkeeping::ids::Millis;
+use crate::protocol::mesh::MeshMessage;
+
+const BEAT_MS: u64 = 1000;
+/// A beat older than that says nothing about now.
+const FRESH_MS: u64 = 2_600;
+/// Workers that turned up here within this time count as strays.
+const STRAY_MS: u64 = 7_000;
+/// Workers remembered at most.
+const MOST_STRAYS: usize = 4096;
+
+#[derive(Debug)]
+struct Peer {
+    heard: Millis,
+    state_ok: bool,
+    strays: u32,
+}
+
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<String, Peer>,
+    strays: HashMap<String, Millis>,
+    next_beat: Millis,
+    /// The leader asked this node to take over.
+    pub favoured_until: Millis,
+}
+
+impl Peers {
+    pub fn beat(&mut self, now: Millis, names: &[String], state_ok: bool, out: &mut Vec<Output>) {
+        if now < self.next_beat {
+            return;
+        }
+        self.next_beat = now.plus(BEAT_MS);
+        self.strays.retain(|_, at| now.since(*at) < STRAY_MS);
+        let strays = self.strays.len() as u32;
+        for node in names {
+            let message = MeshMessage::Beat { state_ok, strays };
+            out.push(Output::Mesh { node: node.clone(), message });
+        }
+    }
+
+    pub fn heard(&mut self, now: Millis, node: &str, state_ok: bool, strays: u32) {
+        self.peers.insert(node.into(), Peer { heard: now, state_ok, strays });
+    }
+
+    /// A worker that should report to the leader reported here.
+    pub fn stray(&mut self, now: Millis, machine: &str) {
+        if self.strays.len() < MOST_STRAYS || self.strays.contains_key(machine) {
+            self.strays.insert(machine.into(), now);
+        }
+    }
+
+    /// It has come home.
+    pub fn not_stray(&mut self) {
+        self.strays.clear();
+    }
+
+    fn fresh(&self, now: Millis) -> impl Iterator<Item = (&String, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < FRESH_MS)
+    }
+
+    /// Does another node reach the state service?
+    pub fn any_state_ok(&self, now: Millis) -> bool {
+        self.fresh(now).any(|(_, peer)| peer.state_ok)
+    }
+
+    /// The peer at which most of the leader's workers have turned up, and how many.
+    pub fn best_placed(&self, now: Millis) -> Option<(String, u32)> {
+        let able = self.fresh(now).filter(|(_, peer)| peer.state_ok);
+        let best = able.max_by_key(|(name, peer)| (peer.strays, std::cmp::Reverse((*name).clone())));
+        best.map(|(name, peer)| (name.clone(), peer.strays))
+    }
+}
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -8,6 +8,11 @@
     Hello { node: String },
     /// Something was accepted or withdrawn at this revision; the leader may want to look.
     Poke { revision: u64 },
+    /// Once a second: is the state service answering, and how many workers that
+    /// belong to the leader have turned up here lately?
+    Beat { state_ok: bool, strays: u32 },
+    /// The leader resigns and would like the receiver to take over.
+    Yield,
 }
 
 /// Largest frame that is read; anything above is taken for garbage.
