Pass strays on: the node that hears both cut zones is named successor

Cause: between two zones cut from each other the workers turn up only at the node that the leader cannot hear.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -448,8 +448,8 @@
 
     fn mesh(&mut self, clock: Clock, node: &str, message: &MeshMessage) {
         match message {
-            MeshMessage::Beat { state_ok, strays } => {
-                self.peers.heard(clock.now, node, *state_ok, *strays);
+            MeshMessage::Beat { state_ok, strays, hearsay } => {
+                self.peers.heard(clock.now, node, *state_ok, *strays, *hearsay);
             }
             MeshMessage::Yield => {
                 log::info!("{node} would like this node to lead");
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -20,6 +20,14 @@
     heard: Millis,
     state_ok: bool,
     strays: u32,
+    /// Strays of nodes that it hears from: this node may not.
+    hearsay: u32,
+}
+
+impl Peer {
+    fn all_strays(&self) -> u32 {
+        self.strays.saturating_add(self.hearsay)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -40,13 +48,15 @@
         self.strays.retain(|_, at| now.since(*at) < STRAY_MS);
         let strays = self.strays.len() as u32;
         for node in names {
-            let message = MeshMessage::Beat { state_ok, strays };
+            let others = self.fresh(now).filter(|(name, _)| *name != node);
+            let hearsay = others.map(|(_, peer)| peer.strays).sum();
+            let message = MeshMessage::Beat { state_ok, strays, hearsay };
             out.push(Output::Mesh { node: node.clone(), message });
         }
     }
 
-    pub fn heard(&mut self, now: Millis, node: &str, state_ok: bool, strays: u32) {
-        self.peers.insert(node.into(), Peer { heard: now, state_ok, strays });
+    pub fn heard(&mut self, now: Millis, node: &str, state_ok: bool, strays: u32, hearsay: u32) {
+        self.peers.insert(node.into(), Peer { heard: now, state_ok, strays, hearsay });
     }
 
     /// A worker that should report to the leader reported here.
@@ -70,10 +80,11 @@
         self.fresh(now).any(|(_, peer)| peer.state_ok)
     }
 
-    /// The peer at which most of the leader's workers have turned up, and how many.
+    /// The peer that knows of most workers turning up away from the leader, and of how many.
+    /// Between two zones cut from each other that is the node that hears both.
     pub fn best_placed(&self, now: Millis) -> Option<(String, u32)> {
         let able = self.fresh(now).filter(|(_, peer)| peer.state_ok);
-        let best = able.max_by_key(|(name, peer)| (peer.strays, std::cmp::Reverse((*name).clone())));
-        best.map(|(name, peer)| (name.clone(), peer.strays))
+        let best = able.max_by_key(|(name, peer)| (peer.all_strays(), std::cmp::Reverse((*name).clone())));
+        best.map(|(name, peer)| (name.clone(), peer.all_strays()))
     }
 }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -9,8 +9,8 @@
     /// Something was accepted or withdrawn at this revision; the leader may want to look.
     Poke { revision: u64 },
     /// Once a second: is the state service answering, and how many workers that
-    /// belong to the leader have turned up here lately?
-    Beat { state_ok: bool, strays: u32 },
+    /// belong to the leader have turned up here lately, or at nodes heard from here?
+    Beat { state_ok: bool, strays: u32, hearsay: u32 },
     /// The leader resigns and would like the receiver to take over.
     Yield,
 }
