--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -53,7 +53,7 @@
         let Some(work) = self.work.get(&job) else {
             return;
         };
-        let rank = Rank::of(job, &work.info);
+        let rank = work.rank;
         let machines = self.suiting(work);
         let image = work.info.image;
         let dear = self.ratio(work) > self.tunables.t;
@@ -129,7 +129,7 @@
         let mut steals = 0;
         loop {
             // Dedicated first (source): those tasks wait for this machine alone.
-            while self.bind_from(ix, true) || self.bind_from(ix, false) {}
+            while self.bind_from(ix, true, clock) || self.bind_from(ix, false, clock) {}
             let machine = &self.machines[ix.at()];
             let idle = machine.shared.is_empty() && machine.free().cpu > 0;
             let rested = !machine.steal_paused && clock.now >= machine.next_steal;
@@ -144,7 +144,7 @@
     }
 
     /// Starts the first task of a queue that may start now.
-    fn bind_from(&mut self, ix: MachineIx, dedicated: bool) -> bool {
+    fn bind_from(&mut self, ix: MachineIx, dedicated: bool, clock: Clock) -> bool {
         let machine = &self.machines[ix.at()];
         if machine.bindings.len() >= self.most_tasks {
             return false;
@@ -159,7 +159,10 @@
                     && self.within_quota(work.info.team, &work.info.need)
             })
         };
-        let Some(rank) = queue.ranks().into_iter().find(may) else {
+        let late = |rank: &&Rank| self.work.get(&rank.job).is_some_and(|work| self.hopeless(work, clock));
+        let ranks: Vec<Rank> = queue.ranks().into_iter().filter(may).collect();
+        let first = ranks.iter().find(|rank| !late(rank)).or(ranks.first());
+        let Some(rank) = first.copied() else {
             return false;
         };
         let machine = &mut self.machines[ix.at()];
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -147,6 +147,7 @@
 #[derive(Debug)]
 pub struct Work {
     pub info: Arc<JobInfo>,
+    pub rank: queues::Rank,
     /// Finished tasks, those included that are not durable yet.
     pub done: Bits,
     /// Where each unfinished task may be: after a takeover that can be several places.
@@ -210,7 +211,7 @@
     teams: HashMap<TeamIx, Team>,
     pub kinds: BTreeMap<KindIx, Kind>,
     /// Within what time a class's jobs should be done, by the settings' objectives.
-    pub aims: HashMap<ClassIx, u64>,
+    pub aims: HashMap<ClassIx, Vec<u64>>,
     /// Ready tasks that no present machine may take.
     pub backlog: Queue,
     /// Tasks that wait before they are tried again.
@@ -230,6 +231,8 @@
     pub to_tell: BTreeSet<MachineIx>,
 }
 
+/// A job that nobody waits for comes after those with an aim of a few minutes.
+const NO_AIM_MS: u64 = 600_000;
 /// Room for attempts within one leadership; the token in front keeps them rising over all.
 const ATTEMPTS_BITS: u32 = 24;
 
@@ -279,8 +282,9 @@
                 (objective.kind.as_str(), &objective.jobclass, objective.within_s)
             {
                 let class = mirror.names.classes.intern(class);
-                let aim = leader.aims.entry(class).or_insert(u64::MAX);
-                *aim = (*aim).min((within * 1000.0) as u64);
+                let aims = leader.aims.entry(class).or_default();
+                aims.push((within * 1000.0) as u64);
+                aims.sort_unstable();
             }
         }
         leader.learn_kinds(mirror);
@@ -414,8 +418,12 @@
             self.writer.clean(job.info.id);
             return;
         }
+        let due = job.info.due_wall_ms.map(|due| due.saturating_sub(job.info.accepted_wall_ms));
+        let aim = self.aims.get(&job.info.class).and_then(|aims| aims.first().copied());
+        let aim = due.into_iter().chain(aim).min().unwrap_or(NO_AIM_MS);
         self.work.entry(ix).or_insert_with(|| Work {
             info: job.info.clone(),
+            rank: queues::Rank::new(ix, &job.info, aim),
             done: job.finished.clone(),
             out: HashMap::new(),
             zones: HashMap::new(),
@@ -437,7 +445,7 @@
             return;
         }
         if work.info.together() {
-            self.gangs.insert(queues::Rank::of(ix, &work.info));
+            self.gangs.insert(work.rank);
         } else {
             let tasks: Vec<u32> = work.done.missing().filter(|task| !work.out.contains_key(task)).collect();
             for task in tasks {
@@ -471,7 +479,7 @@
         if let Some(ix) = ix
             && let Some(work) = self.work.remove(&ix)
         {
-            self.gangs.remove(&queues::Rank::of(ix, &work.info));
+            self.gangs.remove(&work.rank);
             self.backlog.drop_job(ix);
             for machine in &mut self.machines {
                 machine.shared.drop_job(ix);
@@ -650,7 +658,7 @@
                     continue;
                 }
                 if work.info.together() {
-                    self.gangs.insert(queues::Rank::of(ix, &work.info));
+                    self.gangs.insert(work.rank);
                 } else {
                     self.enqueue(ix, task);
                 }
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/plan.rs
@@ -7,7 +7,6 @@
 use std::collections::{BTreeMap, HashSet};
 
 use super::fleet::Offer;
-use super::queues::Rank;
 use super::{Leader, Life, Work};
 use crate::bookkeeping::ids::{JobIx, MachineIx};
 use crate::bookkeeping::mirror::Mirror;
@@ -92,11 +91,20 @@
     pub fn time_left_ms(&self, work: &Work, clock: Clock) -> u64 {
         let age = clock.wall_ms.saturating_sub(work.info.accepted_wall_ms);
         let due = work.info.due_wall_ms.map(|due| due.saturating_sub(clock.wall_ms));
-        let aim = self.aims.get(&work.info.class).map(|aim| aim.saturating_sub(age));
+        let aim = self.aims.get(&work.info.class).and_then(|aims| aims.first());
+        let aim = aim.map(|aim| aim.saturating_sub(age));
         let fallback = (self.tunables.drain_s * 1000.0) as u64 + work.length_ms();
         due.into_iter().chain(aim).min().unwrap_or(fallback)
     }
 
+    /// Every aim of the job has passed: it must not sink those that can still make it.
+    pub fn hopeless(&self, work: &Work, clock: Clock) -> bool {
+        let age = clock.wall_ms.saturating_sub(work.info.accepted_wall_ms);
+        let due = work.info.due_wall_ms.is_some_and(|due| due < clock.wall_ms);
+        let last = self.aims.get(&work.info.class).and_then(|aims| aims.last());
+        due || last.is_some_and(|last| *last < age)
+    }
+
     /// CPU milliseconds that a task still needs, as far as can be told.
     pub fn left_cpu_ms(&self, binding: &super::Binding, clock: Clock) -> u64 {
         let Some(work) = binding.job.and_then(|job| self.work.get(&job)) else { return 0 };
@@ -170,7 +178,7 @@
 
     fn gang(&mut self, ix: JobIx, work: &Work) {
         let leader = self.leader;
-        if !leader.gangs.contains(&Rank::of(ix, &work.info)) {
+        if !leader.gangs.contains(&work.rank) {
             return;
         }
         let mut missing = u64::from(work.left()).saturating_sub(work.out.len() as u64);
