--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -8,6 +8,11 @@
 use crate::coordination::Clock;
 use crate::protocol::users::{Shape, Urgency};
 
+/// Machines for all tasks, and what the dearest of them costs in milliseconds.
+type Slots = (u64, Vec<MachineIx>);
+
+/// Until a halt has reached a worker and its effect is known.
+const HALT_MS: u64 = 500;
 /// Added to the grace of a halt, so that a save has time to end.
 const GRACE_MS: u64 = 2000;
 
@@ -30,9 +35,15 @@
             if old || !self.within_quota(work.info.team, &all) {
                 continue;
             }
-            match self.slots(rank.job, tasks.len(), false) {
-                Some(machines) => self.start_gang(rank, &tasks, &machines),
-                None => self.make_room(rank, tasks.len(), clock),
+            // Room that is free may be dearer than room to be made: an image has to be fetched.
+            let free = self.slots(rank.job, tasks.len(), false, clock);
+            let made = self.slots(rank.job, tasks.len(), true, clock);
+            match (free, made) {
+                (Some((now, machines)), made) if made.as_ref().is_none_or(|(later, _)| now <= *later) => {
+                    self.start_gang(rank, &tasks, &machines);
+                }
+                (_, Some((_, machines))) => self.make_room(rank, &machines, clock),
+                _ => {}
             }
         }
     }
@@ -52,7 +63,7 @@
 
     /// A machine for each of `count` tasks, or None. With `after_halts`, room that
     /// would come from stopping less urgent work counts too.
-    fn slots(&self, job: JobIx, count: usize, after_halts: bool) -> Option<Vec<MachineIx>> {
+    fn slots(&self, job: JobIx, count: usize, after_halts: bool, clock: Clock) -> Option<Slots> {
         let work = self.work.get(&job)?;
         let zones: Vec<Option<ZoneIx>> = if work.info.one_zone {
             let mut zones: Vec<ZoneIx> = self.machines.iter().map(|machine| machine.zone).collect();
@@ -62,7 +73,8 @@
         } else {
             vec![None]
         };
-        zones.into_iter().find_map(|zone| self.slots_in(job, work, count, zone, after_halts))
+        let here = |zone| self.slots_in(job, work, count, zone, after_halts.then_some(clock));
+        zones.into_iter().filter_map(here).min_by_key(|(cost, _)| *cost)
     }
 
     fn slots_in(
@@ -71,9 +83,9 @@
         work: &Work,
         count: usize,
         zone: Option<ZoneIx>,
-        after_halts: bool,
-    ) -> Option<Vec<MachineIx>> {
-        let mut candidates: Vec<(u64, bool, u64, MachineIx)> = Vec::new();
+        after_halts: Option<Clock>,
+    ) -> Option<Slots> {
+        let mut candidates: Vec<(u64, u64, MachineIx)> = Vec::new();
         for at in 0..self.machines.len() {
             let ix = MachineIx(at as u32);
             let machine = &self.machines[at];
@@ -82,70 +94,97 @@
             if held || !here || !self.suits(ix, work) || !self.zone_allows(ix, work) {
                 continue;
             }
-            let (room, loss) =
-                if after_halts { self.room_after_halts(ix, work) } else { (machine.free(), 0) };
+            let (room, cost) = match after_halts {
+                Some(clock) => self.room_after_halts(ix, work, clock),
+                None => (machine.free(), 0),
+            };
             let slots = work.info.need.count_in(&room).min(self.most_tasks as u64);
             if slots > 0 {
-                candidates.push((loss, !machine.has_image(work.info.image), slots, ix));
+                candidates.push((cost + self.fetch_ms(ix, work), slots, ix));
             }
         }
         candidates.sort();
         let cap = if work.info.spread { work.info.tasks.div_ceil(2) } else { u32::MAX };
         let mut in_zone: HashMap<ZoneIx, u32> = work.zones.clone();
         let mut chosen = Vec::new();
-        for (_, _, slots, ix) in candidates {
+        let mut delay = 0;
+        for (cost, slots, ix) in candidates {
             let used = in_zone.entry(self.machines[ix.at()].zone).or_default();
             let take = slots.min(u64::from(cap.saturating_sub(*used))).min((count - chosen.len()) as u64);
             *used += take as u32;
+            if take > 0 {
+                delay = delay.max(cost);
+            }
             chosen.extend(std::iter::repeat_n(ix, take as usize));
         }
-        (chosen.len() == count).then_some(chosen)
+        (chosen.len() == count).then_some((delay, chosen))
+    }
+
+    fn fetch_ms(&self, ix: MachineIx, work: &Work) -> u64 {
+        let machine = &self.machines[ix.at()];
+        if machine.has_image(work.info.image) {
+            return 0;
+        }
+        let rate = self.kinds.get(&machine.kind).map_or(100.0, |kind| kind.fetch_mb_per_s);
+        (work.info.image_mb as f64 / rate.max(1.0) * 1000.0) as u64
     }
 
-    /// Room on a machine once less urgent tasks have stopped, and what stopping them loses
-    /// (CPU milliseconds of work that was not saved).
-    fn room_after_halts(&self, ix: MachineIx, work: &Work) -> (Amount, u64) {
+    /// Room on a machine once less urgent tasks have stopped, and what that costs in
+    /// milliseconds: the wait for them to save, and the work that is lost.
+    fn room_after_halts(&self, ix: MachineIx, work: &Work, clock: Clock) -> (Amount, u64) {
         let machine = &self.machines[ix.at()];
         let mut room = machine.free();
-        let mut loss = 0;
+        let (mut wait, mut lost) = (0, 0);
+        let mut victims: Vec<(u64, u64, Amount)> = Vec::new();
         for binding in &machine.bindings {
             if binding.halt.is_some() {
                 room.add(&binding.need);
-            } else if let Some(lost) = self.loss(binding, work.info.urgency) {
-                room.add(&binding.need);
-                loss += lost;
+                wait = wait.max(HALT_MS);
+            } else if let Some((save, loss)) = self.loss(binding, work.info.urgency, clock) {
+                victims.push((loss, save, binding.need));
+            }
+        }
+        victims.sort_by_key(|(loss, save, _)| (*loss, *save));
+        for (loss, save, need) in victims {
+            if work.info.need.fits(&room) {
+                break;
             }
+            room.add(&need);
+            wait = wait.max(save + HALT_MS);
+            lost += loss;
         }
-        (room, loss)
+        (room, wait + lost / work.info.need.cpu.max(1))
     }
 
-    /// None if the task must not be stopped for work of that urgency.
-    fn loss(&self, binding: &Binding, urgency: Urgency) -> Option<u64> {
+    /// How long stopping the task takes, and the CPU milliseconds lost (in thousandths of
+    /// CPUs); None if it must not be stopped for work of that urgency.
+    fn loss(&self, binding: &Binding, urgency: Urgency, clock: Clock) -> Option<(u64, u64)> {
         let victim = self.work.get(&binding.job?)?;
         if victim.info.urgency <= urgency {
             return None;
         }
-        Some(binding.need.cpu / 1000 + 1)
+        let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
+        if victim.info.checkpoint_ms > 0 && binding.running_since.is_some() {
+            return Some((victim.info.save_ms, binding.need.cpu * victim.info.save_ms));
+        }
+        Some((0, binding.need.cpu * ran))
     }
 
     /// Holds machines for a gang and stops less urgent tasks on them.
-    fn make_room(&mut self, rank: Rank, count: usize, clock: Clock) {
+    fn make_room(&mut self, rank: Rank, machines: &[MachineIx], clock: Clock) {
         let held = |leader: &Leader| {
             leader.machines.iter().any(|machine| machine.held_for.is_some_and(|(job, _)| job == rank.job))
         };
         if held(self) {
             return;
         }
-        let Some(machines) = self.slots(rank.job, count, true) else {
-            return;
-        };
         let Some(work) = self.work.get(&rank.job) else {
             return;
         };
         let (need, urgency) = (work.info.need, work.info.urgency);
         let until = clock.now.plus((self.tunables.hold_s * 1000.0) as u64);
         let mut wanted: HashMap<MachineIx, u64> = HashMap::new();
-        for ix in machines {
+        for ix in machines.iter().copied() {
             *wanted.entry(ix).or_default() += 1;
         }
         let mut wanted: Vec<(MachineIx, u64)> = wanted.into_iter().collect();
@@ -159,18 +198,16 @@
     fn halt_for(&mut self, ix: MachineIx, need: &Amount, urgency: Urgency, clock: Clock) {
         let machine = &self.machines[ix.at()];
         let mut room = machine.free();
-        let mut victims: Vec<(u64, usize)> = Vec::new();
+        let mut victims: Vec<(u64, u64, usize)> = Vec::new();
         for (at, binding) in machine.bindings.iter().enumerate() {
             if binding.halt.is_some() {
                 room.add(&binding.need);
-            } else if self.loss(binding, urgency).is_some() {
-                // Least progress first.
-                let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
-                victims.push((ran, at));
+            } else if let Some((save, loss)) = self.loss(binding, urgency, clock) {
+                victims.push((loss, save, at));
             }
         }
         victims.sort();
-        for (_, at) in victims {
+        for (_, _, at) in victims {
             if need.fits(&room) {
                 break;
             }
