--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -71,7 +71,7 @@
 /// Asks of the fleet are told apart from those of the ledger by this bit.
 const FLEET_ASK: u64 = 1 << 62;
 /// A machine that takes so many times its usual boot time never comes up.
-const BOOT_PATIENCE: u64 = 4;
+const BOOT_PATIENCE: u64 = 3;
 
 impl Fleet {
     pub fn new(rps: f64, token: Token, now: Millis) -> Fleet {
