--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -146,6 +146,7 @@
         if !may_run {
             return;
         }
+        leader.suspect(clock);
         leader.place(clock);
         leader.run_fleet(clock, &self.mirror, out);
         leader.write(clock, &self.mirror, &mut self.ledger, out);
