--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -119,7 +119,7 @@
                     (false, true) => REST_MS,
                     (false, false) => FAVOUR_MS,
                 };
-                let free = vacant > wait && ledger.reachable();
+                let free = vacant > wait && ledger.reachable(clock.now);
                 if free && clock.now.since(self.last_ask) >= RETRY_MS {
                     self.phase = Phase::Granting;
                     self.renewed = clock.now;
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -41,6 +41,8 @@
 const PAGE: u32 = 500;
 const POLL_TIMEOUT_MS: u64 = 1200;
 const TXN_TIMEOUT_MS: u64 = 1500;
+/// Trouble that is over by then was none.
+const HICCUP_MS: u64 = 500;
 /// Between polls that somebody waits for, and when nobody does.
 const POLL_GAP_MS: u64 = 40;
 
@@ -176,8 +178,9 @@
     }
 
     /// True while the service answers this node; false lets users be told at once to come back.
-    pub fn reachable(&self) -> bool {
-        self.failing_since.is_none()
+    /// One refusal or lost answer is a hiccup that those who wait need not hear of.
+    pub fn reachable(&self, now: Millis) -> bool {
+        self.failing_since.is_none_or(|since| now.since(since) < HICCUP_MS)
     }
 
     /// Reads pages until the mirror is whole, then polls for changes.
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -28,7 +28,7 @@
 const STALE_MS: u64 = 2_500;
 const DIRECT_TIMEOUT_MS: u64 = 2_500;
 const CATALOG_RETRY_MS: u64 = 3_000;
-/// Refusals of the state service for so long are no hiccup.
+/// Nodes hear of one another's state with that much delay.
 const ALONE_MS: u64 = 1_500;
 /// A new leader first lets its workers find it.
 const SETTLE_MS: u64 = 8_000;
@@ -54,6 +54,8 @@
     peers: Peers,
     others: Vec<String>,
     now: Millis,
+    /// Since when only this node has trouble with the state service.
+    alone_since: Option<Millis>,
 }
 
 impl Node {
@@ -77,6 +79,7 @@
             peers: Peers::default(),
             others,
             now: clock.now,
+            alone_since: None,
         }
     }
 
@@ -84,8 +87,7 @@
     /// A node that alone is refused by the state service sends its users elsewhere; in an
     /// outage for all, nodes keep their place in the balancer, so that recovery is quick.
     pub fn ready(&self) -> bool {
-        let trouble = self.ledger.failing_since.map_or(0, |since| self.now.since(since));
-        let alone = trouble > ALONE_MS && self.peers.any_state_ok(self.now);
+        let alone = self.alone_since.is_some_and(|since| self.now.since(since) > ALONE_MS);
         self.ledger.loaded && !self.mirror.kinds.is_empty() && !alone
     }
 
@@ -120,11 +122,14 @@
         self.leadership.tick(clock, favoured, &self.mirror, &mut self.ledger, out);
         let wanted = self.users.wants_barrier() || self.taking_over.is_some() || favoured;
         self.ledger.keep_fresh(clock, wanted, due, &self.mirror, out);
-        self.users.expire(clock, self.ledger.reachable(), out);
+        self.users.expire(clock, self.ledger.reachable(clock.now), out);
         let ops = self.settings.state_limits.txn_ops;
         self.users.write(clock, ops, &mut self.ledger, out);
         self.learn_catalog(clock, out);
-        self.peers.beat(clock.now, &self.others, self.ledger.reachable(), out);
+        self.peers.beat(clock.now, &self.others, self.ledger.reachable(clock.now), out);
+        // At both ends of an outage for all, nodes notice at different moments.
+        let alone = !self.ledger.reachable(clock.now) && self.peers.any_state_ok(clock.now);
+        self.alone_since = self.alone_since.or(Some(clock.now)).filter(|_| alone);
         self.consider_resigning(clock, out);
         self.lead(clock, out);
     }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -75,7 +75,7 @@
             out.push(Output::Answer { call, answer });
             return;
         }
-        if !ledger.loaded || !ledger.reachable() || self.waiting.len() >= MOST_WAITING {
+        if !ledger.loaded || !ledger.reachable(clock.now) || self.waiting.len() >= MOST_WAITING {
             let answer = Answer::later("cannot decide now", COME_BACK_S);
             out.push(Output::Answer { call, answer });
             return;
