Give teams their guarantee back, replace slow machines

A team within its guarantee comes before those that borrow, and after half a minute claims back what it has lent.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -159,10 +159,15 @@
                     && self.within_quota(work.info.team, &work.info.need)
             })
         };
-        let late = |rank: &&Rank| self.work.get(&rank.job).is_some_and(|work| self.hopeless(work, clock));
-        let ranks: Vec<Rank> = queue.ranks().into_iter().filter(may).collect();
-        let first = ranks.iter().find(|rank| !late(rank)).or(ranks.first());
-        let Some(rank) = first.copied() else {
+        // Within one urgency: teams within their guarantee, then those that borrow; the
+        // hopeless last of all.
+        let order = |rank: &Rank| {
+            self.work.get(&rank.job).map(|work| {
+                let borrows = !self.within_guarantee(work.info.team, &work.info.need);
+                (work.info.urgency, self.hopeless(work, clock), borrows, *rank)
+            })
+        };
+        let Some(rank) = queue.ranks().into_iter().filter(may).min_by_key(order) else {
             return false;
         };
         let machine = &mut self.machines[ix.at()];
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -413,6 +413,7 @@
                 Life::Booting if age > boot * BOOT_PATIENCE + 10_000 => "never came up",
                 Life::Silent if idle > 20_000 => "silent",
                 Life::Up if machine.sick => "sick",
+                Life::Up if machine.slow => "slow",
                 Life::Up
                     if idle >= idle_ms
                         && age >= PAID_MS
--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -6,11 +6,13 @@
 use super::{Binding, Leader, Run, Work};
 use crate::bookkeeping::ids::{Amount, JobIx, MachineIx, ZoneIx};
 use crate::coordination::Clock;
-use crate::protocol::users::{Shape, Urgency};
+use crate::protocol::users::Shape;
 
 /// Machines for all tasks, and what the dearest of them costs in milliseconds.
 type Slots = (u64, Vec<MachineIx>);
 
+/// A team waits so long for room before it claims back what it has lent.
+const CLAIM_MS: u64 = 30_000;
 /// Until a halt has reached a worker and its effect is known.
 const HALT_MS: u64 = 500;
 /// Added to the grace of a halt, so that a save has time to end.
@@ -140,7 +142,7 @@
             if binding.halt.is_some() {
                 room.add(&binding.need);
                 wait = wait.max(HALT_MS);
-            } else if let Some((save, loss)) = self.loss(binding, work.info.urgency, clock) {
+            } else if let Some((save, loss)) = self.loss(binding, work, clock) {
                 victims.push((loss, save, binding.need));
             }
         }
@@ -157,10 +159,18 @@
     }
 
     /// How long stopping the task takes, and the CPU milliseconds lost (in thousandths of
-    /// CPUs); None if it must not be stopped for work of that urgency.
-    fn loss(&self, binding: &Binding, urgency: Urgency, clock: Clock) -> Option<(u64, u64)> {
+    /// CPUs); None if it must not be stopped: only less urgent work may be, and what another
+    /// team has borrowed, to give this one its guarantee.
+    fn loss(&self, binding: &Binding, work: &Work, clock: Clock) -> Option<(u64, u64)> {
         let victim = self.work.get(&binding.job?)?;
-        if victim.info.urgency <= urgency {
+        let less_urgent = victim.info.urgency > work.info.urgency;
+        // Renting costs less than lost work, so what is lent is claimed only after a while.
+        let waited = clock.wall_ms.saturating_sub(work.info.accepted_wall_ms);
+        let borrowed = waited >= CLAIM_MS
+            && victim.info.team != work.info.team
+            && self.borrows(victim.info.team)
+            && self.within_guarantee(work.info.team, &work.info.need.times(u64::from(work.left())));
+        if !less_urgent && !borrowed {
             return None;
         }
         let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
@@ -181,7 +191,7 @@
         let Some(work) = self.work.get(&rank.job) else {
             return;
         };
-        let (need, urgency) = (work.info.need, work.info.urgency);
+        let need = work.info.need;
         let until = clock.now.plus((self.tunables.hold_s * 1000.0) as u64);
         let mut wanted: HashMap<MachineIx, u64> = HashMap::new();
         for ix in machines.iter().copied() {
@@ -191,18 +201,19 @@
         wanted.sort();
         for (ix, tasks) in wanted {
             self.machines[ix.at()].held_for = Some((rank.job, until));
-            self.halt_for(ix, &need.times(tasks), urgency, clock);
+            self.halt_for(ix, &need.times(tasks), rank.job, clock);
         }
     }
 
-    fn halt_for(&mut self, ix: MachineIx, need: &Amount, urgency: Urgency, clock: Clock) {
+    fn halt_for(&mut self, ix: MachineIx, need: &Amount, job: JobIx, clock: Clock) {
+        let Some(work) = self.work.get(&job) else { return };
         let machine = &self.machines[ix.at()];
         let mut room = machine.free();
         let mut victims: Vec<(u64, u64, usize)> = Vec::new();
         for (at, binding) in machine.bindings.iter().enumerate() {
             if binding.halt.is_some() {
                 room.add(&binding.need);
-            } else if let Some((save, loss)) = self.loss(binding, urgency, clock) {
+            } else if let Some((save, loss)) = self.loss(binding, work, clock) {
                 victims.push((loss, save, at));
             }
         }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -118,6 +118,9 @@
     pub idle_since: Millis,
     pub errors: BTreeSet<JobId>,
     pub sick: bool,
+    /// Runs finished here, and the sum of how much longer than their jobs' mean they took.
+    pub pace: (u32, f64),
+    pub slow: bool,
     /// Not needed: takes no queued tasks, so that it runs empty.
     pub parked: bool,
     /// Times of the tasks it finished within the last minute.
@@ -135,6 +138,7 @@
             && self.confirmed
             && !self.returning
             && !self.sick
+            && !self.slow
             && self.notice_until.is_none()
     }
 
@@ -555,6 +559,8 @@
             idle_since: clock.now,
             errors: BTreeSet::new(),
             sick: false,
+            pace: (0, 0.0),
+            slow: false,
             parked: false,
             finishes: Vec::new(),
         });
@@ -681,6 +687,20 @@
         used.fits(&settings.limit())
     }
 
+    /// Would the team still be within what it is guaranteed?
+    pub fn within_guarantee(&self, team: TeamIx, need: &Amount) -> bool {
+        let Some(settings) = self.teams.get(&team) else { return false };
+        let used = self.usage.get(&team).copied().unwrap_or_default();
+        used.cpu + need.cpu <= settings.guaranteed.cpu && used.gpu + need.gpu <= settings.guaranteed.gpu
+    }
+
+    /// Does the team use more than it is guaranteed? What is above is borrowed.
+    pub fn borrows(&self, team: TeamIx) -> bool {
+        let Some(settings) = self.teams.get(&team) else { return false };
+        let used = self.usage.get(&team).copied().unwrap_or_default();
+        used.cpu > settings.guaranteed.cpu || used.gpu > settings.guaranteed.gpu
+    }
+
     /// Takes every task off a machine that is certainly gone or empty.
     pub fn clear_machine(&mut self, ix: MachineIx, clock: Clock) {
         while !self.machines[ix.at()].bindings.is_empty() {
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -18,6 +18,11 @@
 /// A job that failed on so many machines is at fault itself.
 const BAD_JOB_MACHINES: usize = 3;
 
+/// A machine on which runs take so many times their jobs' mean is replaced.
+const SLOW: f64 = 2.0;
+/// Runs that a job, and a machine, must have finished before it is compared.
+const COMPARED_RUNS: u32 = 4;
+
 /// How to answer a report.
 #[derive(Debug)]
 pub enum Verdict {
@@ -255,17 +260,27 @@
         machine.errors.clear();
         machine.finishes.retain(|at| clock.now.since(*at) < 60_000);
         machine.finishes.push(clock.now);
-        let Some(ix) = binding.job else { return };
-        let Some(work) = self.work.get_mut(&ix) else {
+        let Some(job) = binding.job else { return };
+        let Some(work) = self.work.get_mut(&job) else {
             return;
         };
         work.failed_on.clear();
         if let Some(since) = binding.running_since {
+            if work.runs >= COMPARED_RUNS {
+                let mean = (work.run_ms / u64::from(work.runs)).max(1);
+                machine.pace.0 += 1;
+                machine.pace.1 += clock.now.since(since) as f64 / mean as f64;
+            }
+            let (runs, sum) = machine.pace;
+            if runs >= COMPARED_RUNS && sum > SLOW * f64::from(runs) && !machine.slow {
+                log::info!("machine {} taken for slow", machine.name);
+                machine.slow = true;
+            }
             // Only runs that were seen from start to end say how long a task takes.
             work.runs += 1;
             work.run_ms += clock.now.since(since);
         }
-        self.task_done(ix, binding.task);
+        self.task_done(job, binding.task);
     }
 
     fn task_done(&mut self, ix: JobIx, task: TaskRef) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -674,6 +674,10 @@
                 let worker = self.workers.iter_mut().find(|worker| worker.name == *host).expect("a worker");
                 worker.sick = true;
             }
+            ["slow", host, times] => {
+                let worker = self.workers.iter_mut().find(|worker| worker.name == *host).expect("a worker");
+                worker.slow = times.parse().expect("a number");
+            }
             ["notice", host, seconds] => {
                 let until = self.now + (seconds.parse::<f64>().expect("seconds") * 1000.0) as u64;
                 let worker = self.workers.iter_mut().find(|worker| worker.name == *host).expect("a worker");
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -310,6 +310,8 @@
     pub images: Vec<String>,
     pub answered: u64,
     pub sick: bool,
+    /// Its tasks take so many times as long.
+    pub slow: u64,
     /// Tasks that got their image since the last look: the moment rules are judged.
     pub started: Vec<String>,
     pub changed: bool,
@@ -332,6 +334,7 @@
             images: Vec::new(),
             answered: now,
             sick: false,
+            slow: 1,
             started: Vec::new(),
             changed: true,
             finished: Vec::new(),
@@ -454,7 +457,7 @@
                     piece.phase = match (kept, self.sick || job.fails) {
                         (true, _) => Phase::Ended { cause: "done", kept: false },
                         (false, true) => Phase::Ended { cause: "error", kept: false },
-                        _ => Phase::Running { until: now + job.run_ms },
+                        _ => Phase::Running { until: now + job.run_ms.saturating_mul(self.slow) },
                     };
                 }
                 Phase::Running { until } if until <= now => {
