--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,59 @@
+//! What operators write: good files are taken, bad ones named by place.
+
+use olivelatch::bookkeeping::ids::Amount;
+use olivelatch::settings::Settings;
+use olivelatch::tunables::Tunables;
+use serde_json::{Value, json};
+
+fn platform() -> Value {
+    json!({"node": "n0", "zone": "a", "front": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2", "new_field": 1,
+        "others": [{"node": "n1", "zone": "a", "addr": "127.0.0.1:3"}],
+        "endpoints": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+        "cluster": {"count": 2, "zones": ["a"],
+            "teams": [{"name": "open", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0},
+                {"name": "bound", "cpus": 4.0, "cpus_max": 8.0, "gpus": 0.0, "gpus_max": 0.0}],
+            "objectives": [{"kind": "deadline", "class": "c", "share": 0.9, "times": 1.0}],
+            "workers": {"report_s": 2.0, "lease_s": 12.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 32.0},
+            "state": {"rps": 70.0, "write_rps": 25.0, "value_kb": 4.0, "txn_ops": 8},
+            "cloud": {"rps": 3.0, "list_lag_s": 8.0},
+            "quota": {"core_share": 0.1, "mem_mb": 72.0, "max_connections": 1500}, "time_bound_ms": 100.0}})
+}
+
+fn problem(change: impl Fn(&mut Value)) -> String {
+    let mut value = platform();
+    change(&mut value);
+    Settings::parse("f.json", &value.to_string()).expect_err("a problem").to_string()
+}
+
+#[test]
+fn a_maximum_of_zero_is_no_limit() {
+    let settings = Settings::parse("f.json", &platform().to_string()).expect("fine");
+    let huge = Amount { cpu: 1 << 40, gpu: 1 << 40, mem: 1 << 40 };
+    assert!(huge.fits(&settings.teams[0].limit()));
+    assert!(!huge.fits(&settings.teams[1].limit()));
+    assert!(Amount { cpu: 8000, gpu: 5, mem: 1 }.fits(&settings.teams[1].limit()));
+    assert!(!Amount { cpu: 8001, gpu: 0, mem: 1 }.fits(&settings.teams[1].limit()));
+}
+
+#[test]
+fn absurd_settings_are_named() {
+    assert!(problem(|v| v["cluster"]["workers"]["lease_s"] = json!(1.0)).contains("workers.lease_s"));
+    assert!(problem(|v| v["cluster"]["state"]["value_kb"] = json!(0.5)).contains("state.value_kb"));
+    assert!(problem(|v| v["cluster"]["state"]["txn_ops"] = json!(1)).contains("state.txn_ops"));
+    assert!(problem(|v| v["cluster"]["count"] = json!(0)).contains("cluster.count"));
+    assert!(problem(|v| v["others"][0]["node"] = json!("n0")).contains("names this node"));
+    assert!(problem(|v| v["front"] = json!("nowhere")).contains("f.json"));
+    assert!(problem(|v| v["cluster"]["teams"][1]["cpus"] = json!(-1.0)).contains("teams.bound.cpus"));
+    assert!(problem(|v| drop(v["cluster"].as_object_mut().map(|c| c.remove("workers")))).contains("workers"));
+}
+
+#[test]
+fn tunables_are_checked_with_their_place() {
+    assert_eq!(Tunables::parse("f.hcl", "").expect("defaults"), Tunables::default());
+    assert_eq!(Tunables::parse("f.hcl", "t = 0.75\n").expect("fine").t, 0.75);
+    let unknown = Tunables::parse("f.hcl", "t = 0.5\nbogus = 1\n").expect_err("unknown").to_string();
+    assert!(unknown.contains("f.hcl: line 2") && unknown.contains("bogus"), "{unknown}");
+    let range = Tunables::parse("f.hcl", "idle_s = -1\n").expect_err("range").to_string();
+    assert!(range.contains("idle_s must be 0 to"), "{range}");
+    assert!(Tunables::parse("f.hcl", "t = = 1").is_err());
+}
