--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -142,10 +142,6 @@
 }
 
 impl Leader {
-    pub fn fleet_heard(&mut self, _ix: MachineIx, _clock: Clock) {
-        self.stirred = true;
-    }
-
     /// Requests to the cloud that are due.
     pub fn run_fleet(&mut self, clock: Clock, mirror: &Mirror, out: &mut Vec<Output>) {
         self.rent(clock, mirror, out);
@@ -233,7 +229,7 @@
             CloudRequest::Release { machines } => self.release_answered(clock, &machines, &reply),
             CloudRequest::Rent { .. } => {
                 if let Some(name) = booking {
-                    self.rent_answered(clock, &name, reply, mirror);
+                    self.rent_answered(clock, &name, reply);
                 }
             }
         }
@@ -317,7 +313,7 @@
         }
     }
 
-    fn rent_answered(&mut self, clock: Clock, name: &str, reply: CloudReply, mirror: &mut Mirror) {
+    fn rent_answered(&mut self, clock: Clock, name: &str, reply: CloudReply) {
         let Some(booking) = self.fleet.bookings.get_mut(name) else {
             return;
         };
@@ -334,7 +330,6 @@
                     let ix = self.add_machine(machine, "", offer.kind, offer.zone, offer.spot, clock);
                     self.machines[ix.at()].since = asked_at;
                 }
-                let _ = mirror;
             }
             CloudReply::NoCapacity => {
                 self.fleet.bookings.remove(name);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -4,10 +4,13 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod gangs;
+pub mod inherit;
 pub mod orders;
 pub mod plan;
 pub mod queues;
 pub mod reports;
+pub mod silence;
+pub mod withdraw;
 pub mod writer;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -237,10 +240,6 @@
 
 /// A job that nobody waits for comes after those with an aim of a few minutes.
 const NO_AIM_MS: u64 = 600_000;
-/// After a takeover, workers need that long to find the new leader.
-const FIND_US_MS: u64 = 6_000;
-/// A machine is given up early only if that saves its tasks so much time.
-const WORTH_MS: u64 = 5_000;
 /// Room for attempts within one leadership; the token in front keeps them rising over all.
 const ATTEMPTS_BITS: u32 = 24;
 
@@ -339,86 +338,6 @@
         self.stirred = true;
     }
 
-    fn inherit_machines(&mut self, mirror: &mut Mirror, clock: Clock) {
-        let records: Vec<(String, MachineRecord)> =
-            mirror.machines.iter().map(|(name, record)| (name.clone(), record.clone())).collect();
-        for (name, record) in records {
-            let kind = mirror.names.kinds.intern(&record.kind);
-            let zone = mirror.names.zones.intern(&record.zone);
-            let ix = self.add_machine(&name, &record.endpoint, kind, zone, record.spot, clock);
-            let machine = &mut self.machines[ix.at()];
-            machine.life = Life::Up;
-            machine.returning = record.returning;
-            machine.return_recorded = record.returning;
-            for (task, attempt) in record.tasks() {
-                self.inherit_binding(ix, task, attempt, mirror, clock);
-            }
-            // Hearing the new token early ends the old leader's say at once.
-            self.to_tell.insert(ix);
-        }
-    }
-
-    fn inherit_binding(
-        &mut self,
-        ix: MachineIx,
-        task: TaskRef,
-        attempt: Attempt,
-        mirror: &Mirror,
-        clock: Clock,
-    ) {
-        let job = mirror.find(task.job);
-        let info = job.and_then(|job| mirror.job(job));
-        // A finished task only waits to be reaped.
-        if info.is_some_and(|job| job.finished.has(task.task)) {
-            return;
-        }
-        let withdrawn = info.and_then(|job| job.end).map(|(_, at)| self.gone_by(at, clock));
-        let binding = Binding {
-            task,
-            job: job.filter(|_| withdrawn.is_none()),
-            attempt,
-            need: info.map(|job| job.info.need).unwrap_or_default(),
-            team: info.map(|job| job.info.team),
-            run: Run::Inherited,
-            session: Session(0),
-            state: None,
-            late: false,
-            running_since: None,
-            halt: withdrawn.map(|_| 0),
-            halt_sent: None,
-            gone_by: withdrawn,
-        };
-        self.attach(ix, binding);
-    }
-
-    fn inherit_jobs(&mut self, mirror: &Mirror, clock: Clock) {
-        let jobs: Vec<JobIx> = mirror.live().map(|(ix, _)| ix).collect();
-        for ix in jobs {
-            self.add_job(ix, mirror, clock);
-        }
-        // Places of inherited tasks, so that none is started twice.
-        for at in 0..self.machines.len() {
-            let ix = MachineIx(at as u32);
-            let zone = self.machines[at].zone;
-            let image_of = |work: &Work| (work.info.image, work.info.image_mb);
-            let mut images = Vec::new();
-            for binding in &self.machines[at].bindings {
-                if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
-                    work.out.entry(binding.task.task).or_default().push((ix, binding.attempt));
-                    *work.zones.entry(zone).or_default() += 1;
-                    images.push(image_of(work));
-                }
-            }
-            for (image, mb) in images {
-                self.touch_image(ix, image, mb);
-            }
-        }
-        let jobs: Vec<JobIx> = self.work.keys().copied().collect();
-        for ix in jobs {
-            self.queue_missing(ix);
-        }
-    }
-
     /// A job that the mirror holds. Its ready tasks are queued by `queue_missing`.
     pub fn add_job(&mut self, ix: JobIx, mirror: &Mirror, _clock: Clock) {
         let Some(job) = mirror.job(ix) else { return };
@@ -472,48 +391,6 @@
         }
     }
 
-    /// When a worker that still shows a withdrawn job's task must get no more answers,
-    /// so that its lease takes the task away in time.
-    pub fn gone_by(&self, told_wall_ms: u64, clock: Clock) -> Millis {
-        let workers = &self.settings.workers;
-        let slack = self.settings.time_bound_ms * 2 + 4 * super::leadership::MARGIN_MS;
-        let spare = workers.cancel_ms.saturating_sub(workers.lease_ms + slack);
-        let passed = clock.wall_ms.saturating_sub(told_wall_ms);
-        clock.now.plus(spare.saturating_sub(passed))
-    }
-
-    /// The user has withdrawn the job: nothing of it starts any more, everything stops.
-    pub fn withdraw(&mut self, id: JobId, ix: Option<JobIx>, told_wall_ms: u64, clock: Clock) {
-        if let Some(ix) = ix
-            && let Some(work) = self.work.remove(&ix)
-        {
-            self.gangs.remove(&work.rank);
-            self.backlog.drop_job(ix);
-            for machine in &mut self.machines {
-                machine.shared.drop_job(ix);
-                machine.dedicated.drop_job(ix);
-                if machine.held_for.is_some_and(|(job, _)| job == ix) {
-                    machine.held_for = None;
-                }
-            }
-        }
-        let gone_by = self.gone_by(told_wall_ms, clock);
-        for at in 0..self.machines.len() {
-            for binding in &mut self.machines[at].bindings {
-                if binding.task.job == id {
-                    binding.job = None;
-                    binding.halt = Some(0);
-                    binding.halt_sent = None;
-                    binding.gone_by = Some(gone_by);
-                    self.to_tell.insert(MachineIx(at as u32));
-                }
-            }
-            self.drop_unsent(MachineIx(at as u32), clock);
-        }
-        self.writer.clean(id);
-        self.stirred = true;
-    }
-
     pub fn add_machine(
         &mut self,
         name: &str,
@@ -722,76 +599,4 @@
             self.enqueue(rank.job, task);
         }
     }
-
-    /// Workers that reported to us and should still, and how many of them are overdue.
-    pub fn silent_workers(&self, now: Millis) -> (usize, usize) {
-        let patience = self.settings.workers.report_ms * 9 / 4 + 500;
-        let ours = self.machines.iter().filter(|m| m.life == Life::Up && m.confirmed);
-        let waits = ours.filter_map(|m| m.answered).map(|at| now.since(at) > patience);
-        waits.fold((0, 0), |(all, silent), over| (all + 1, silent + usize::from(over)))
-    }
-
-    /// Spot machines are taken without a word. One that misses several reports, while most
-    /// others are heard, is returned: the cloud's answer makes certain at once that nothing
-    /// is on it, long before its worker's lease, or after a takeover the hold, has run out.
-    pub fn suspect(&mut self, clock: Clock) {
-        let report = self.settings.workers.report_ms;
-        let (mut up, mut quiet) = (0, Vec::new());
-        for (at, machine) in self.machines.iter().enumerate() {
-            if machine.life != Life::Up || machine.returning {
-                continue;
-            }
-            up += 1;
-            let since = machine.answered.unwrap_or(self.acquired.plus(FIND_US_MS));
-            if clock.now.since(since) > 4 * report + 2_000 {
-                quiet.push(MachineIx(at as u32));
-            }
-        }
-        // Many at once are a cut or our own trouble, not the cloud.
-        if quiet.len() > 2 && quiet.len() * 3 > up {
-            return;
-        }
-        for ix in quiet {
-            let empty_at = self.empty_at(&self.machines[ix.at()]);
-            let machine = &mut self.machines[ix.at()];
-            let sooner = empty_at.since(clock.now) > WORTH_MS;
-            if machine.spot && sooner && !machine.bindings.is_empty() {
-                log::info!("machine {} goes back: a spot machine that is silent", machine.name);
-                machine.returning = true;
-                self.spread_queues(ix);
-                self.writer.urgent(ix);
-            }
-        }
-    }
-
-    /// When a machine that stays silent is certainly empty.
-    fn empty_at(&self, machine: &Machine) -> Millis {
-        let lease = self.settings.workers.lease_ms;
-        let slack = (lease as f64 * super::leadership::DRIFT) as u64 + 4 * super::leadership::MARGIN_MS;
-        match machine.answered {
-            Some(answered) if machine.confirmed => answered.plus(lease + slack),
-            // An earlier leader, or our own first answers, may have kept it alive.
-            Some(answered) => answered.plus(lease + slack).max(self.inherited_until),
-            None => self.inherited_until,
-        }
-    }
-
-    /// Machines whose worker's lease has certainly run out: nothing is on them.
-    pub fn expire(&mut self, clock: Clock) {
-        for at in 0..self.machines.len() {
-            let ix = MachineIx(at as u32);
-            let machine = &self.machines[at];
-            if machine.life != Life::Up || clock.now < self.empty_at(machine) {
-                continue;
-            }
-            log::info!("machine {} lost with {} tasks", machine.name, machine.bindings.len());
-            self.counters.lost_machines += 1;
-            let machine = &mut self.machines[at];
-            machine.life = Life::Silent;
-            machine.held_for = None;
-            machine.idle_since = clock.now;
-            self.clear_machine(ix, clock);
-            self.spread_queues(ix);
-        }
-    }
 }
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -82,7 +82,7 @@
         }
         if matches!(machine.life, Life::Booting | Life::Silent) {
             machine.life = Life::Up;
-            self.fleet_heard(ix, clock);
+            self.stirred = true;
         }
         ix
     }
--- /dev/null
+++ b/src/coordination/leader/silence.rs
@@ -0,0 +1,85 @@
+//! Machines that are not heard from: when are they certainly empty, and what to do until then.
+
+use super::{Leader, Life, Machine};
+use crate::bookkeeping::ids::{MachineIx, Millis};
+use crate::coordination::Clock;
+use crate::coordination::leadership::{DRIFT, MARGIN_MS};
+
+/// After a takeover, workers need that long to find the new leader.
+const FIND_US_MS: u64 = 6_000;
+/// A machine is given up early only if that saves its tasks so much time.
+const WORTH_MS: u64 = 5_000;
+
+impl Leader {
+    /// Workers that reported to us and should still, and how many of them are overdue.
+    pub fn silent_workers(&self, now: Millis) -> (usize, usize) {
+        let patience = self.settings.workers.report_ms * 9 / 4 + 500;
+        let ours = self.machines.iter().filter(|m| m.life == Life::Up && m.confirmed);
+        let waits = ours.filter_map(|m| m.answered).map(|at| now.since(at) > patience);
+        waits.fold((0, 0), |(all, silent), over| (all + 1, silent + usize::from(over)))
+    }
+
+    /// Spot machines are taken without a word. One that misses several reports, while most
+    /// others are heard, is returned: the cloud's answer makes certain at once that nothing
+    /// is on it, long before its worker's lease, or after a takeover the hold, has run out.
+    pub fn suspect(&mut self, clock: Clock) {
+        let report = self.settings.workers.report_ms;
+        let (mut up, mut quiet) = (0, Vec::new());
+        for (at, machine) in self.machines.iter().enumerate() {
+            if machine.life != Life::Up || machine.returning {
+                continue;
+            }
+            up += 1;
+            let since = machine.answered.unwrap_or(self.acquired.plus(FIND_US_MS));
+            if clock.now.since(since) > 4 * report + 2_000 {
+                quiet.push(MachineIx(at as u32));
+            }
+        }
+        // Many at once are a cut or our own trouble, not the cloud.
+        if quiet.len() > 2 && quiet.len() * 3 > up {
+            return;
+        }
+        for ix in quiet {
+            let empty_at = self.empty_at(&self.machines[ix.at()]);
+            let machine = &mut self.machines[ix.at()];
+            let sooner = empty_at.since(clock.now) > WORTH_MS;
+            if machine.spot && sooner && !machine.bindings.is_empty() {
+                log::info!("machine {} goes back: a spot machine that is silent", machine.name);
+                machine.returning = true;
+                self.spread_queues(ix);
+                self.writer.urgent(ix);
+            }
+        }
+    }
+
+    /// When a machine that stays silent is certainly empty.
+    fn empty_at(&self, machine: &Machine) -> Millis {
+        let lease = self.settings.workers.lease_ms;
+        let slack = (lease as f64 * DRIFT) as u64 + 4 * MARGIN_MS;
+        match machine.answered {
+            Some(answered) if machine.confirmed => answered.plus(lease + slack),
+            // An earlier leader, or our own first answers, may have kept it alive.
+            Some(answered) => answered.plus(lease + slack).max(self.inherited_until),
+            None => self.inherited_until,
+        }
+    }
+
+    /// Machines whose worker's lease has certainly run out: nothing is on them.
+    pub fn expire(&mut self, clock: Clock) {
+        for at in 0..self.machines.len() {
+            let ix = MachineIx(at as u32);
+            let machine = &self.machines[at];
+            if machine.life != Life::Up || clock.now < self.empty_at(machine) {
+                continue;
+            }
+            log::info!("machine {} lost with {} tasks", machine.name, machine.bindings.len());
+            self.counters.lost_machines += 1;
+            let machine = &mut self.machines[at];
+            machine.life = Life::Silent;
+            machine.held_for = None;
+            machine.idle_since = clock.now;
+            self.clear_machine(ix, clock);
+            self.spread_queues(ix);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/withdraw.rs
@@ -0,0 +1,50 @@
+//! Jobs that their users have withdrawn: everything stops, and in time.
+
+use super::Leader;
+use crate::bookkeeping::ids::{JobId, JobIx, MachineIx, Millis};
+use crate::coordination::Clock;
+use crate::coordination::leadership::MARGIN_MS;
+
+impl Leader {
+    /// When a worker that still shows a withdrawn job's task must get no more answers,
+    /// so that its lease takes the task away in time.
+    pub fn gone_by(&self, told_wall_ms: u64, clock: Clock) -> Millis {
+        let workers = &self.settings.workers;
+        let slack = self.settings.time_bound_ms * 2 + 4 * MARGIN_MS;
+        let spare = workers.cancel_ms.saturating_sub(workers.lease_ms + slack);
+        let passed = clock.wall_ms.saturating_sub(told_wall_ms);
+        clock.now.plus(spare.saturating_sub(passed))
+    }
+
+    /// The user has withdrawn the job: nothing of it starts any more, everything stops.
+    pub fn withdraw(&mut self, id: JobId, ix: Option<JobIx>, told_wall_ms: u64, clock: Clock) {
+        if let Some(ix) = ix
+            && let Some(work) = self.work.remove(&ix)
+        {
+            self.gangs.remove(&work.rank);
+            self.backlog.drop_job(ix);
+            for machine in &mut self.machines {
+                machine.shared.drop_job(ix);
+                machine.dedicated.drop_job(ix);
+                if machine.held_for.is_some_and(|(job, _)| job == ix) {
+                    machine.held_for = None;
+                }
+            }
+        }
+        let gone_by = self.gone_by(told_wall_ms, clock);
+        for at in 0..self.machines.len() {
+            for binding in &mut self.machines[at].bindings {
+                if binding.task.job == id {
+                    binding.job = None;
+                    binding.halt = Some(0);
+                    binding.halt_sent = None;
+                    binding.gone_by = Some(gone_by);
+                    self.to_tell.insert(MachineIx(at as u32));
+                }
+            }
+            self.drop_unsent(MachineIx(at as u32), clock);
+        }
+        self.writer.clean(id);
+        self.stirred = true;
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,7 +9,7 @@
 pub mod peers;
 pub mod users;
 
-use crate::bookkeeping::ids::{Millis, Session};
+use crate::bookkeeping::ids::Millis;
 use crate::protocol::cloud::CloudRequest;
 use crate::protocol::mesh::MeshMessage;
 use crate::protocol::state::StateRequest;
@@ -48,6 +48,6 @@
     Answer { call: CallId, answer: Answer },
     State { ask: AskId, request: StateRequest, timeout_ms: u64 },
     Cloud { ask: AskId, request: CloudRequest, timeout_ms: u64 },
-    Orders { ask: AskId, endpoint: String, session: Session, call: Call, timeout_ms: u64 },
+    Orders { ask: AskId, endpoint: String, call: Call, timeout_ms: u64 },
     Mesh { node: String, message: MeshMessage },
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -50,7 +50,6 @@
     directs: HashMap<AskId, Direct>,
     next_direct: u64,
     catalog_next: Millis,
-    highest_token: Token,
     peers: Peers,
     others: Vec<String>,
     now: Millis,
@@ -75,7 +74,6 @@
             directs: HashMap::new(),
             next_direct: DIRECT_ASK,
             catalog_next: Millis::default(),
-            highest_token: Token(0),
             peers: Peers::default(),
             others,
             now: clock.now,
@@ -162,7 +160,6 @@
             out.push(Output::Orders {
                 ask,
                 endpoint: machine.endpoint.clone(),
-                session: machine.session,
                 call: orders_call(leader.token, machine.session, &direct.orders),
                 timeout_ms: DIRECT_TIMEOUT_MS,
             });
@@ -203,7 +200,6 @@
     }
 
     fn report(&mut self, clock: Clock, call: CallId, report: &Report, out: &mut Vec<Output>) {
-        self.highest_token = self.highest_token.max(report.token);
         let answer = self.report_answer(clock, report);
         out.push(Output::Answer { call, answer });
     }
