Bound transactions lower, retry users' writes after a 429; measurements and incidents

A batch of large machine records could exceed the 64 KiB of a transaction with 16 KiB values and would then have been refused for ever.

--- a/src/coordination/leader/writer.rs
+++ b/src/coordination/leader/writer.rs
@@ -45,7 +45,9 @@
 
 /// Records that only list tasks that are gone are rewritten that seldom.
 const TIDY_MS: u64 = 4000;
-const LARGEST_TXN: usize = 48 * 1024;
+/// A batch that is this large takes no more: with one more value of up to 16 KiB it still
+/// fits the 64 KiB of a transaction.
+const LARGEST_TXN: usize = 40 * 1024;
 
 impl Writer {
     /// Tasks of this machine wait for its record.
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -213,6 +213,11 @@
                 self.again(clock, writing, &failed);
                 false
             }
+            StateReply::Refused { status: 429 } => {
+                // Certainly not carried out: it goes again once the limit allows.
+                self.queued.extend(writing);
+                false
+            }
             _ => {
                 // Perhaps carried out, perhaps not: the user asks again and gets to know.
                 for (write, _) in writing {
