--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -201,6 +201,7 @@
             session: Session(0),
             state: None,
             late: false,
+            fetching_since: None,
             running_since: None,
             halt: None,
             halt_sent: None,
--- a/src/coordination/leader/inherit.rs
+++ b/src/coordination/leader/inherit.rs
@@ -51,6 +51,7 @@
             session: Session(0),
             state: None,
             late: false,
+            fetching_since: None,
             running_since: None,
             halt: withdrawn.map(|_| 0),
             halt_sent: None,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -66,6 +66,7 @@
     pub state: Option<TaskState>,
     /// A direct command without an answer may still arrive.
     pub late: bool,
+    pub fetching_since: Option<Millis>,
     pub running_since: Option<Millis>,
     /// Stop it, with this grace.
     pub halt: Option<u64>,
@@ -311,7 +312,9 @@
             let ix = mirror.names.kinds.intern(&entry.name);
             let zones = entry.zones.iter().map(|zone| mirror.names.zones.intern(zone)).collect();
             let published = entry.fetch_gb_per_s * 1000.0;
-            let rate = if published > 0.0 { published } else { self.tunables.fetch_gb_per_s * 1000.0 };
+            let first = if published > 0.0 { published } else { self.tunables.fetch_gb_per_s * 1000.0 };
+            // What was observed outlives a new look at the catalog.
+            let rate = self.kinds.get(&ix).map_or(first, |kind| kind.fetch_mb_per_s);
             self.kinds.insert(
                 ix,
                 Kind {
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -23,6 +23,10 @@
 /// Runs that a job, and a machine, must have finished before it is compared.
 const COMPARED_RUNS: u32 = 4;
 
+/// Fetches that tell a rate, and how much one of them counts.
+const SHORTEST_FETCH_MS: u64 = 2_000;
+const FETCH_WEIGHT: f64 = 0.1;
+
 /// How to answer a report.
 #[derive(Debug)]
 pub enum Verdict {
@@ -146,9 +150,17 @@
                 }
                 binding.state = Some(state);
                 binding.late = false;
+                if state == TaskState::Fetching {
+                    binding.fetching_since.get_or_insert(clock.now);
+                }
                 if state == TaskState::Running && binding.running_since.is_none() {
                     binding.running_since = Some(clock.now);
                 }
+                let fetched = matches!(state, TaskState::Running | TaskState::Gathering);
+                if let Some(since) = binding.fetching_since.take_if(|_| fetched) {
+                    let job = binding.job;
+                    self.fetched(ix, job, clock.now.since(since));
+                }
             }
             (None, TaskState::Exited(_)) => {}
             // Nothing of ours: it stops, and counts as being there until it is gone.
@@ -156,6 +168,18 @@
         }
     }
 
+    /// An image came in: what the machine type really fetches a second.
+    fn fetched(&mut self, ix: MachineIx, job: Option<JobIx>, ms: u64) {
+        let Some(work) = job.and_then(|job| self.work.get(&job)) else { return };
+        let Some(kind) = self.kinds.get_mut(&self.machines[ix.at()].kind) else { return };
+        // Shorter than the reports are apart, it says nothing.
+        if ms < SHORTEST_FETCH_MS || work.info.image_mb == 0 {
+            return;
+        }
+        let seen = work.info.image_mb as f64 / ms as f64 * 1000.0;
+        kind.fetch_mb_per_s += (seen - kind.fetch_mb_per_s) * FETCH_WEIGHT;
+    }
+
     fn stray(&mut self, ix: MachineIx, piece: &Piece, state: TaskState) {
         log::info!("stray {} on {}", piece.task, self.machines[ix.at()].name);
         let binding = Binding {
@@ -168,6 +192,7 @@
             session: Session(0),
             state: Some(state),
             late: false,
+            fetching_since: None,
             running_since: None,
             halt: Some(0),
             halt_sent: None,
