Tidy: one way to count booked machines, one slack, no state that nobody reads

The array and gang plans walked the booked machines in twin loops, three places worked out the slack on another clock's period, and open bookings were counted by two loops, one of them anew for every offer. Task counts of queues, sessions of bindings and two fields of the plan were written and never read.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::queues::Rank;
 use super::{Binding, Leader, Life, Run, Work};
-use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
+use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, TaskRef};
 use crate::coordination::Clock;
 
 /// Stealing of one machine within one round of placement.
@@ -75,9 +75,6 @@
         };
         queue.push(rank, task);
         *counter += 1;
-        if let Some(work) = self.work.get_mut(&job) {
-            work.queued += 1;
-        }
         for machine in &mut self.machines {
             machine.steal_paused = false;
         }
@@ -117,9 +114,6 @@
                 continue;
             }
             while let Some(task) = self.backlog.pop(rank) {
-                if let Some(work) = self.work.get_mut(&rank.job) {
-                    work.queued -= 1;
-                }
                 self.enqueue(rank.job, task);
             }
         }
@@ -175,9 +169,6 @@
         let Some(task) = queue.pop(rank) else {
             return false;
         };
-        if let Some(work) = self.work.get_mut(&rank.job) {
-            work.queued -= 1;
-        }
         let attempt = self.next_attempt();
         self.bind(ix, rank.job, task, attempt);
         true
@@ -198,7 +189,6 @@
             need: info.need,
             team: Some(info.team),
             run: Run::Planned,
-            session: Session(0),
             state: None,
             late: false,
             fetching_since: None,
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -133,12 +133,6 @@
         }
         open
     }
-
-    pub fn on_the_way(&self, offer: Offer) -> u32 {
-        let open =
-            |booking: &&Booking| booking.offer == offer && !matches!(booking.stage, Stage::Rented { .. });
-        self.bookings.values().filter(open).map(|booking| booking.count).sum()
-    }
 }
 
 impl Leader {
@@ -427,6 +421,7 @@
     }
 
     pub fn best_offer(&self, work: &Work, clock: Clock, here: impl Fn(ZoneIx) -> bool) -> Option<Offer> {
+        let open = self.fleet.open_bookings();
         let mut best: Option<(f64, Offer)> = None;
         for (kind_ix, kind) in &self.kinds {
             let slots = work.info.need.count_in(&kind.size).min(1_000_000);
@@ -447,7 +442,8 @@
                         (true, None) => continue,
                     };
                     // Offers already asked for come later, so that zones take turns.
-                    let cost = price / slots as f64 * (1.0 + 0.01 * f64::from(self.fleet.on_the_way(offer)));
+                    let cost = price / slots as f64
+                        * (1.0 + 0.01 * f64::from(open.get(&offer).copied().unwrap_or(0)));
                     if best.is_none_or(|(least, _)| cost < least) {
                         best = Some((cost, offer));
                     }
--- a/src/coordination/leader/inherit.rs
+++ b/src/coordination/leader/inherit.rs
@@ -1,7 +1,7 @@
 //! What a new leader takes over from the records of earlier ones.
 
 use super::{Binding, Leader, Life, Run, Work};
-use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
+use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, TaskRef};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::MachineRecord;
 use crate::coordination::Clock;
@@ -48,7 +48,6 @@
             need: info.map(|job| job.info.need).unwrap_or_default(),
             team: info.map(|job| job.info.team),
             run: Run::Inherited,
-            session: Session(0),
             state: None,
             late: false,
             fetching_since: None,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -62,7 +62,6 @@
     pub need: Amount,
     pub team: Option<TeamIx>,
     pub run: Run,
-    pub session: Session,
     pub state: Option<TaskState>,
     /// A direct command without an answer may still arrive.
     pub late: bool,
@@ -166,7 +165,6 @@
     pub run_ms: u64,
     /// Machines on which its tasks failed, since one last succeeded.
     pub failed_on: HashSet<MachineIx>,
-    pub queued: u32,
     pub ending: bool,
 }
 
@@ -256,7 +254,7 @@
         clock: Clock,
     ) -> Leader {
         let grace = hold_ms + settings.workers.lease_ms;
-        let slack = (grace as f64 * super::leadership::DRIFT) as u64 + 4 * super::leadership::MARGIN_MS;
+        let slack = super::leadership::slack_ms(grace);
         let mut leader = Leader {
             token,
             acquired: clock.now,
@@ -360,7 +358,6 @@
             runs: 0,
             run_ms: 0,
             failed_on: HashSet::new(),
-            queued: 0,
             ending: false,
         });
     }
@@ -557,12 +554,16 @@
         }
     }
 
+    fn used_by(&self, team: TeamIx) -> Amount {
+        self.usage.get(&team).copied().unwrap_or_default()
+    }
+
     /// Has the team room for that much more?
     pub fn within_quota(&self, team: TeamIx, need: &Amount) -> bool {
         let Some(settings) = self.teams.get(&team) else {
             return false;
         };
-        let mut used = self.usage.get(&team).copied().unwrap_or_default();
+        let mut used = self.used_by(team);
         used.add(need);
         used.fits(&settings.limit())
     }
@@ -570,14 +571,14 @@
     /// Would the team still be within what it is guaranteed?
     pub fn within_guarantee(&self, team: TeamIx, need: &Amount) -> bool {
         let Some(settings) = self.teams.get(&team) else { return false };
-        let used = self.usage.get(&team).copied().unwrap_or_default();
+        let used = self.used_by(team);
         used.cpu + need.cpu <= settings.guaranteed.cpu && used.gpu + need.gpu <= settings.guaranteed.gpu
     }
 
     /// Does the team use more than it is guaranteed? What is above is borrowed.
     pub fn borrows(&self, team: TeamIx) -> bool {
         let Some(settings) = self.teams.get(&team) else { return false };
-        let used = self.usage.get(&team).copied().unwrap_or_default();
+        let used = self.used_by(team);
         used.cpu > settings.guaranteed.cpu || used.gpu > settings.guaranteed.gpu
     }
 
@@ -596,9 +597,6 @@
         let mut tasks = machine.shared.drain();
         tasks.extend(machine.dedicated.drain());
         for (rank, task) in tasks {
-            if let Some(work) = self.work.get_mut(&rank.job) {
-                work.queued -= 1;
-            }
             self.enqueue(rank.job, task);
         }
     }
--- a/src/coordination/leader/orders.rs
+++ b/src/coordination/leader/orders.rs
@@ -35,7 +35,6 @@
     /// None for a direct message.
     pub fn orders(&mut self, ix: MachineIx, clock: Clock, tick: Option<u64>, may_run: bool) -> Vec<Order> {
         let machine = &mut self.machines[ix.at()];
-        let session = machine.session;
         let mut orders = Vec::new();
         for binding in &mut machine.bindings {
             if orders.len() >= MOST_ORDERS {
@@ -53,7 +52,6 @@
                 continue;
             }
             if binding.run == Run::Recorded && may_run {
-                binding.session = session;
                 binding.run = match tick {
                     Some(tick) => Run::Answered { tick },
                     None => Run::Direct,
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/plan.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use super::fleet::Offer;
-use super::{Leader, Life, Work};
+use super::{Kind, Leader, Life, Work};
 use crate::bookkeeping::ids::{JobIx, MachineIx, ZoneIx};
 use crate::bookkeeping::mirror::Mirror;
 use crate::coordination::Clock;
@@ -29,7 +29,6 @@
     delay_ms: u64,
     /// CPU milliseconds already spoken for.
     taken: u64,
-    spot: bool,
 }
 
 impl Place {
@@ -48,8 +47,6 @@
     /// Work that one more machine of an offer, wanted already, can still take.
     spare: BTreeMap<Offer, u64>,
     wanted: BTreeMap<Offer, u32>,
-    /// CPU milliseconds laid onto ordinary machines that spot ones could do as well.
-    dear: u64,
 }
 
 impl Leader {
@@ -64,8 +61,9 @@
         let (used, wanted) = (plan.used, plan.wanted);
         self.park(&used);
         self.fleet.needed = used;
+        let booked = self.fleet.open_bookings();
         for (offer, count) in wanted {
-            let open = self.fleet.on_the_way(offer);
+            let open = booked.get(&offer).copied().unwrap_or(0);
             if count > open {
                 self.book(offer, (count - open).min(RENT_MOST), mirror);
             }
@@ -186,7 +184,6 @@
                 cpu: machine.size.cpu,
                 delay_ms,
                 taken,
-                spot: machine.spot,
             });
         }
         places.sort_by(|a, b| a.price.total_cmp(&b.price).then(a.ix.cmp(&b.ix)));
@@ -199,7 +196,6 @@
             booked: leader.fleet.open_bookings(),
             spare: BTreeMap::new(),
             wanted: BTreeMap::new(),
-            dear: 0,
         }
     }
 
@@ -243,16 +239,7 @@
                 place.taken += work.info.need.cpu * took * work.length_ms() / 1000;
             }
         }
-        // Machines asked for already count as coming.
-        for (offer, count) in &mut self.booked {
-            let Some(kind) = leader.kinds.get(&offer.kind) else { continue };
-            let slots = work.info.need.count_in(&kind.size);
-            let allowed = work.info.allows(offer.kind, offer.zone, offer.spot);
-            while *count > 0 && allowed && need.take(offer.zone, slots) > 0 {
-                *count -= 1;
-                *self.wanted.entry(*offer).or_default() += 1;
-            }
-        }
+        self.use_booked(work, |zone, kind| need.take(zone, work.info.need.count_in(&kind.size)) > 0);
         while need.missing > 0 {
             let Some(offer) = leader.best_offer(work, self.clock, |zone| need.room(zone) > 0) else { return };
             let Some(kind) = leader.kinds.get(&offer.kind) else { return };
@@ -280,17 +267,16 @@
         best.or_else(|| self.leader.best_offer(work, self.clock, |_| true).map(|offer| offer.zone))
     }
 
-    /// Machines asked for already count as coming.
-    fn use_booked(&mut self, work: &Work, missing: &mut u64, gives: impl Fn(&super::Kind) -> u64) {
+    /// Machines asked for already count as coming; `take` says whether one more is of use.
+    fn use_booked(&mut self, work: &Work, mut take: impl FnMut(ZoneIx, &Kind) -> bool) {
         for (offer, count) in &mut self.booked {
             let Some(kind) = self.leader.kinds.get(&offer.kind) else { continue };
             let fits = work.info.need.fits(&kind.size);
             if !fits || !work.info.allows(offer.kind, offer.zone, offer.spot) {
                 continue;
             }
-            while *missing > 0 && *count > 0 {
+            while *count > 0 && take(offer.zone, kind) {
                 *count -= 1;
-                *missing = missing.saturating_sub(gives(kind).max(1));
                 *self.wanted.entry(*offer).or_default() += 1;
             }
         }
@@ -322,14 +308,11 @@
                 place.taken += part;
                 left -= part;
                 self.used.insert(place.ix);
-                if !place.spot && work.info.spot {
-                    self.dear += part;
-                }
             }
         }
         // New machines come late, and are paid for a minute at least: unless there is work
         // for that long, the machines there are the better choice.
-        let does = |kind: &super::Kind| {
+        let does = |kind: &Kind| {
             let usable = horizon.max(PAID_MS).saturating_sub(kind.boot_ms).max(length);
             (kind.size.cpu * usable / 1000).max(1)
         };
@@ -340,7 +323,11 @@
                 left -= part;
             }
         }
-        self.use_booked(work, &mut left, does);
+        self.use_booked(work, |_, kind| {
+            let useful = left > 0;
+            left = left.saturating_sub(does(kind));
+            useful
+        });
         let mut added = 0;
         while left > 0 && added < MOST_ADDED {
             let Some(offer) = leader.best_offer(work, self.clock, |_| true) else { return };
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -189,7 +189,6 @@
             need: Default::default(),
             team: None,
             run: Run::Seen,
-            session: Session(0),
             state: Some(state),
             late: false,
             fetching_since: None,
--- a/src/coordination/leader/silence.rs
+++ b/src/coordination/leader/silence.rs
@@ -3,7 +3,7 @@
 use super::{Leader, Life, Machine};
 use crate::bookkeeping::ids::{MachineIx, Millis};
 use crate::coordination::Clock;
-use crate::coordination::leadership::{DRIFT, MARGIN_MS};
+use crate::coordination::leadership::slack_ms;
 
 /// After a takeover, workers need that long to find the new leader.
 const FIND_US_MS: u64 = 6_000;
@@ -55,7 +55,7 @@
     /// When a machine that stays silent is certainly empty.
     fn empty_at(&self, machine: &Machine) -> Millis {
         let lease = self.settings.workers.lease_ms;
-        let slack = (lease as f64 * DRIFT) as u64 + 4 * MARGIN_MS;
+        let slack = slack_ms(lease);
         match machine.answered {
             Some(answered) if machine.confirmed => answered.plus(lease + slack),
             // An earlier leader, or our own first answers, may have kept it alive.
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -13,6 +13,11 @@
 /// Steady clocks run apart by up to 0.05%; a little more is assumed.
 pub const DRIFT: f64 = 0.001;
 
+/// What is added to a period that another clock measures.
+pub fn slack_ms(period_ms: u64) -> u64 {
+    (period_ms as f64 * DRIFT) as u64 + 4 * MARGIN_MS
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Phase {
     Follower,
@@ -78,8 +83,7 @@
     /// How long after its lease a leader without the state service may keep workers alive:
     /// a job withdrawn elsewhere meanwhile must be gone within `cancel_s`.
     pub fn hold_ms(workers: &WorkerTimes, life_ms: u64) -> u64 {
-        let slack = (workers.cancel_ms as f64 * DRIFT) as u64 + 4 * MARGIN_MS;
-        workers.cancel_ms.saturating_sub(workers.lease_ms + life_ms + slack)
+        workers.cancel_ms.saturating_sub(workers.lease_ms + life_ms + slack_ms(workers.cancel_ms))
     }
 
     pub fn step_down(&mut self) {
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    /// It has come home.
+    /// This node leads now: workers that report here are no strays.
     pub fn not_stray(&mut self) {
         self.strays.clear();
     }
