--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,289 @@
+//! Real processes on loopback against the repository's own stand-ins: submit,
+//! poll, abort, kill the leader, done. Bounded in time and count.
+
+mod standins;
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use standins::{Cloud, JobFacts, KindSpec, State, Worker};
+
+/// Reads one HTTP message: first line and body.
+fn read_message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..end]).to_string();
+            let length = head
+                .lines()
+                .find_map(|line| {
+                    line.to_ascii_lowercase().strip_prefix("content-length:")?.trim().parse().ok()
+                })
+                .unwrap_or(0);
+            while bytes.len() < end + 4 + length {
+                let n = stream.read(&mut chunk).ok().filter(|n| *n > 0)?;
+                bytes.extend_from_slice(&chunk[..n]);
+            }
+            let body = bytes[end + 4..end + 4 + length].to_vec();
+            return Some((head.lines().next().unwrap_or("").to_string(), body));
+        }
+        let n = stream.read(&mut chunk).ok().filter(|n| *n > 0)?;
+        bytes.extend_from_slice(&chunk[..n]);
+    }
+}
+
+fn call(addr: &str, method: &str, path: &str, body: &[u8]) -> Option<(u16, Value)> {
+    let addr = addr.parse().ok()?;
+    let mut stream = TcpStream::connect_timeout(&addr, Duration::from_millis(500)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(4))).ok()?;
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(body).ok()?;
+    let (first, body) = read_message(&mut stream)?;
+    let status = first.split(' ').nth(1)?.parse().ok()?;
+    Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+}
+
+type Handler = dyn Fn(&str, &str, &[u8]) -> (u16, Value) + Send + Sync;
+
+/// Serves until the test ends, one thread a connection.
+fn serve(listener: TcpListener, handler: Arc<Handler>) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handler = handler.clone();
+            std::thread::spawn(move || answer(stream, &*handler));
+        }
+    });
+}
+
+fn answer(mut stream: TcpStream, handler: &Handler) {
+    while let Some((first, body)) = read_message(&mut stream) {
+        let mut words = first.split(' ');
+        let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+        let (status, body) = handler(method, path, &body);
+        let body = body.to_string();
+        let text = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+struct Controllers {
+    children: Vec<Option<Child>>,
+    files: Vec<std::path::PathBuf>,
+    fronts: Vec<String>,
+}
+
+impl Controllers {
+    fn start(&mut self, at: usize) {
+        let child = Command::new(env!("CARGO_BIN_EXE_olivelatch"))
+            .args(["serve", "--config"])
+            .arg(&self.files[at])
+            .env("LOG_LEVEL", "error")
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        self.children[at] = Some(child);
+    }
+
+    fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.children[at].take() {
+            child.kill().expect("our own process");
+            child.wait().expect("our own process");
+        }
+    }
+
+    /// Any controller that answers, as users behind a balancer see it.
+    fn ask(&self, method: &str, path: &str, body: &Value) -> Option<(u16, Value)> {
+        let body = if body.is_null() { String::new() } else { body.to_string() };
+        let up = (0..self.fronts.len()).filter(|at| self.children[*at].is_some());
+        up.into_iter().find_map(|at| {
+            call(&self.fronts[at], method, path, body.as_bytes()).filter(|(status, _)| *status != 503)
+        })
+    }
+
+    fn until(&self, seconds: u64, path: &str, holds: impl Fn(u16, &Value) -> bool) {
+        let end = Instant::now() + Duration::from_secs(seconds);
+        let mut last = None;
+        while Instant::now() < end {
+            last = self.ask("GET", path, &Value::Null);
+            if last.as_ref().is_some_and(|(status, body)| holds(*status, body)) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        panic!("{path}: not within {seconds} s, last {last:?}");
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for at in 0..self.children.len() {
+            if let Some(mut child) = self.children[at].take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            let _ = std::fs::remove_file(&self.files[at]);
+        }
+    }
+}
+
+fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port on loopback");
+    let addr = listener.local_addr().expect("an address").to_string();
+    (listener, addr)
+}
+
+fn free_addr() -> String {
+    listener().1
+}
+
+/// A worker: reports to the controllers and serves its orders.
+fn run_worker(
+    mut worker: Worker,
+    listener: TcpListener,
+    fronts: Vec<String>,
+    jobs: Arc<BTreeMap<String, JobFacts>>,
+    start: Instant,
+) {
+    let now = move || start.elapsed().as_millis() as u64 + 1000;
+    worker.endpoint = listener.local_addr().expect("an address").to_string();
+    let shared = Arc::new(Mutex::new(worker));
+    let (direct, facts) = (shared.clone(), jobs.clone());
+    let handler =
+        move |_: &str, _: &str, body: &[u8]| direct.lock().expect("worker").direct(body, now(), &facts);
+    serve(listener, Arc::new(handler));
+    std::thread::spawn(move || {
+        let mut home = 0;
+        while now() < 120_000 {
+            let sent = now();
+            let body = {
+                let mut worker = shared.lock().expect("worker");
+                worker.step(sent, 6000, &jobs);
+                worker.started.clear();
+                worker.report(sent).to_string()
+            };
+            match call(&fronts[home], "POST", "/v1/report", body.as_bytes()) {
+                Some((200, body)) => {
+                    shared.lock().expect("worker").answer(&body, sent, now(), &jobs);
+                }
+                _ => home = (home + 1) % fronts.len(),
+            }
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    });
+}
+
+fn submission(id: &str, tasks: u32) -> Value {
+    json!({"uid": id, "jobclass": "work", "owner": "core", "shape": "array", "urgency": "normal",
+        "pieces": tasks, "vcpus": 1.0, "accelerators": 0.0, "memory_gb": 1.0, "bundle": "img", "size_gb": 0.1,
+        "boxkinds": null, "hall": null, "together": false, "scatter": false, "loaners": false,
+        "guess_s": 1.0, "snapshot_s": 0.0, "flush_s": 0.0, "due_s": null})
+}
+
+#[test]
+fn real_processes_survive_the_leaders_death() {
+    let start = Instant::now();
+    let now = move || start.elapsed().as_millis() as u64 + 1000;
+    let state = Arc::new(Mutex::new(State::default()));
+    let kind = KindSpec {
+        name: "small".into(),
+        cpus: 4.0,
+        memory: 16.0,
+        gpus: 0.0,
+        fetch: 1.0,
+        boot_s: 1.0,
+        zones: vec!["a".into()],
+        count: 0,
+        spot: 0,
+    };
+    let mut cloud = Cloud::default();
+    cloud.kinds.push(kind.clone());
+    for _ in 0..2 {
+        cloud.add("small", "a", false, 0, 0);
+    }
+    let rented: Vec<Worker> = cloud.machines.iter().map(|m| Worker::new(m, kind.clone(), 1000)).collect();
+    let cloud = Arc::new(Mutex::new(cloud));
+    let (state_listener, state_addr) = listener();
+    let (cloud_listener, cloud_addr) = listener();
+    let book = state.clone();
+    serve(
+        state_listener,
+        Arc::new(move |m: &str, p: &str, b: &[u8]| book.lock().expect("state").call(m, p, b, now())),
+    );
+    serve(
+        cloud_listener,
+        Arc::new(move |m: &str, p: &str, b: &[u8]| cloud.lock().expect("cloud").call(m, p, b, now())),
+    );
+
+    let fronts: Vec<String> = (0..3).map(|_| free_addr()).collect();
+    let meshes: Vec<String> = (0..3).map(|_| free_addr()).collect();
+    let folder = std::env::temp_dir();
+    let mut controllers =
+        Controllers { children: vec![None, None, None], files: Vec::new(), fronts: fronts.clone() };
+    for at in 0..3 {
+        let others: Vec<Value> = (0..3)
+            .filter(|other| *other != at)
+            .map(|other| json!({"node": format!("n{other}"), "zone": "a", "addr": meshes[other]}))
+            .collect();
+        let settings = json!({"node": format!("n{at}"), "zone": "a", "front": fronts[at], "mesh_addr": meshes[at],
+            "others": others, "endpoints": {"cloud": cloud_addr, "state": state_addr},
+            "cluster": {"count": 3, "zones": ["a"], "teams": [{"name": "core"}],
+                "workers": {"report_s": 0.5, "lease_s": 6.0, "gang_wait_s": 10.0, "gang_peer_s": 2.0, "cancel_s": 20.0},
+                "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 4.0, "txn_ops": 8},
+                "cloud": {"rps": 10.0, "list_lag_s": 1.0},
+                "quota": {"core_share": 1.0, "mem_mb": 200.0, "max_connections": 500}, "time_bound_ms": 10.0}});
+        let file = folder.join(format!("olivelatch-{}-{at}.json", std::process::id()));
+        std::fs::write(&file, settings.to_string()).expect("a settings file");
+        controllers.files.push(file);
+        controllers.start(at);
+    }
+    let facts = |run_ms| JobFacts {
+        cpus: 1.0,
+        image: "img".into(),
+        size_gb: 0.1,
+        run_ms,
+        gang: false,
+        tasks: 1,
+        checkpoint: false,
+        save_ms: 0,
+        fails: false,
+    };
+    let jobs = [("job-000001", 500), ("job-000002", 60_000), ("job-000003", 6_000)];
+    let jobs: BTreeMap<String, JobFacts> =
+        jobs.into_iter().map(|(id, ms)| (id.to_string(), facts(ms))).collect();
+    let jobs = Arc::new(jobs);
+    for worker in rented {
+        run_worker(worker, listener().0, fronts.clone(), jobs.clone(), start);
+    }
+
+    controllers.until(15, "/ready", |status, _| status == 200);
+    let (status, _) = controllers.ask("POST", "/work", &submission("job-000001", 6)).expect("an answer");
+    assert_eq!(status, 201);
+    controllers.until(30, "/work/job-000001", |_, body| body["status"] == "done");
+    assert_eq!(controllers.ask("GET", "/work/job-000009", &Value::Null).expect("an answer").0, 404);
+    assert_eq!(controllers.ask("POST", "/work", &json!({"uid": "x"})).expect("an answer").0, 400);
+    assert_eq!(controllers.ask("PUT", "/work", &Value::Null).expect("an answer").0, 405);
+
+    assert_eq!(controllers.ask("POST", "/work", &submission("job-000002", 2)).expect("an answer").0, 201);
+    controllers.until(15, "/work/job-000002", |_, body| body["running"] == 2);
+    let (status, body) = controllers.ask("POST", "/work/job-000002/abort", &Value::Null).expect("an answer");
+    assert_eq!((status, &body["status"]), (200, &json!("withdrawn")));
+
+    assert_eq!(controllers.ask("POST", "/work", &submission("job-000003", 4)).expect("an answer").0, 201);
+    controllers.until(15, "/work/job-000003", |_, body| body["running"] == 4);
+    let record = state.lock().expect("state").keys["olivelatch/leader"].0.clone();
+    let leader = record["node"].as_str().and_then(|name| name.strip_prefix('n')).expect("a leader");
+    controllers.kill(leader.parse().expect("a number"));
+    controllers.until(40, "/work/job-000003", |_, body| body["status"] == "done");
+    controllers.until(5, "/work/job-000002", |_, body| body["status"] == "withdrawn");
+    let again = state.lock().expect("state").keys["olivelatch/leader"].0.clone();
+    assert_ne!(again, record, "another leads");
+}
