--- a/src/bookkeeping/bits.rs
+++ b/src/bookkeeping/bits.rs
@@ -45,6 +45,12 @@
         true
     }
 
+    pub fn add_row(&mut self, first: u32, count: u32) {
+        for at in first..first.saturating_add(count).min(self.len) {
+            self.set(at);
+        }
+    }
+
     /// The numbers that are not in the set.
     pub fn missing(&self) -> impl Iterator<Item = u32> + '_ {
         (0..self.len).filter(|at| !self.has(*at))
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -2,9 +2,12 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use super::bits::Bits;
 use super::ids::{JobId, JobIx, Revision};
 use super::jobs::{End, Job, JobInfo, Registry};
-use super::records::{BookingRecord, EndRecord, FinishedRecord, JobRecord, Key, LeaderRecord, MachineRecord};
+use super::records::{
+    BookingRecord, EndRecord, FinishedRecord, JobRecord, Key, LeaderRecord, LogRecord, MachineRecord,
+};
 use crate::protocol::cloud::CatalogEntry;
 use crate::protocol::state::Pair;
 
@@ -29,7 +32,10 @@
     pub revision: Revision,
     pub names: Registry,
     pub leader: Option<LeaderSeen>,
+    /// Records of the form before the log.
     pub machines: BTreeMap<String, MachineRecord>,
+    /// The leaders' log, by the name of its part.
+    pub log: BTreeMap<String, LogRecord>,
     pub bookings: BTreeMap<String, BookingRecord>,
     pub kinds: BTreeMap<String, CatalogEntry>,
     jobs: Vec<Option<Box<Job>>>,
@@ -40,7 +46,22 @@
     /// Keys this node deleted and when, until the changes up to then have been seen.
     tombs: HashMap<String, Revision>,
     /// Finished blocks that were read before their job's record (pages come sorted by key).
-    early: HashMap<JobId, Vec<(u32, String)>>,
+    early: HashMap<JobId, Vec<Early>>,
+}
+
+#[derive(Debug)]
+enum Early {
+    Block(u32, String),
+    Row(u32, u32),
+}
+
+impl Early {
+    fn add_to(&self, finished: &mut Bits) {
+        match self {
+            Early::Block(block, hex) => finished.add_hex(*block, hex),
+            Early::Row(first, count) => finished.add_row(*first, *count),
+        }
+    }
 }
 
 impl Mirror {
@@ -126,10 +147,15 @@
             }
             Key::Finished(id, block) => {
                 let record: FinishedRecord = serde_json::from_str(value).ok()?;
-                match self.job_mut(*id) {
-                    Some(job) => job.finished.add_hex(*block, &record.tasks),
-                    None => self.early.entry(*id).or_default().push((*block, record.tasks)),
+                self.finished(*id, Early::Block(*block, record.tasks));
+                None
+            }
+            Key::Log(name) => {
+                let record: LogRecord = serde_json::from_str(value).ok()?;
+                for (id, first, count) in record.done_rows() {
+                    self.finished(id, Early::Row(first, count));
                 }
+                self.log.insert(name.clone(), record);
                 None
             }
             Key::Machine(name) => {
@@ -165,6 +191,9 @@
             Key::Machine(name) => {
                 self.machines.remove(name);
             }
+            Key::Log(name) => {
+                self.log.remove(name);
+            }
             Key::Booking(name) => {
                 self.bookings.remove(name);
             }
@@ -178,8 +207,8 @@
             return *ix;
         }
         let mut job = Job::new(JobInfo::new(id, &record.spec, record.at, stamp, &mut self.names));
-        for (block, hex) in self.early.remove(&id).unwrap_or_default() {
-            job.finished.add_hex(block, &hex);
+        for early in self.early.remove(&id).unwrap_or_default() {
+            early.add_to(&mut job.finished);
         }
         job.end = self.ended.get(&id).copied();
         let ix = JobIx(self.jobs.len() as u32);
@@ -193,9 +222,23 @@
         self.jobs.get_mut(ix.at())?.as_deref_mut()
     }
 
+    fn finished(&mut self, id: JobId, what: Early) {
+        if let Some(job) = self.job_mut(id) {
+            what.add_to(&mut job.finished);
+        } else if !self.ended.contains_key(&id) {
+            // An ended job's tasks are of no interest any more.
+            self.early.entry(id).or_default().push(what);
+        }
+    }
+
     /// Tasks of a job that may be on machines, by the records: for display.
     pub fn recorded_running(&self, id: JobId) -> u32 {
-        let on = |machine: &MachineRecord| machine.tasks().filter(|(task, _)| task.job == id).count();
-        self.machines.values().map(on).sum::<usize>() as u32
+        let Some(job) = self.find_job(id) else { return 0 };
+        let starts = self.log.values().flat_map(LogRecord::starts);
+        let ours = starts.filter(|(task, _)| task.job == id && !job.finished.has(task.task));
+        let mut tasks: Vec<u32> = ours.map(|(task, _)| task.task).collect();
+        tasks.sort_unstable();
+        tasks.dedup();
+        tasks.len() as u32
     }
 }
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -31,6 +31,10 @@
         self.per_second = per_second;
     }
 
+    pub fn rate(&self) -> f64 {
+        self.per_second
+    }
+
     fn refill(&mut self, now: Millis) {
         let gained = now.since(self.at) as f64 * self.per_second / 1000.0;
         self.held = (self.held + gained).min(self.per_second.max(1.0));
--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -1,16 +1,24 @@
 //! The ordinary path: the t split, dedicated first, sampled half steals, spills over tt.
 
+use std::collections::BTreeSet;
+
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use super::history::Start;
 use super::queues::Rank;
-use super::{Binding, Leader, Life, Run, Work};
+use super::{Binding, Leader, Run, Work};
 use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, TaskRef};
 use crate::coordination::Clock;
 
 /// Stealing of one machine within one round of placement.
 const STEALS_A_ROUND: usize = 4;
+/// Samples drawn for a task before all machines are looked at.
+const SAMPLES: usize = 3;
+/// Thieves that try again now and then while tasks wait somewhere.
+const SWEPT: usize = 4;
+/// Gangs that wait are tried that often: more often nothing has changed for them.
+const GANGS_EVERY_MS: u64 = 150;
 
 impl Leader {
     /// May a task of this job start on this machine, room and quota aside?
@@ -32,11 +40,6 @@
         !work.info.spread || here < work.info.tasks.div_ceil(2)
     }
 
-    fn suiting(&self, work: &Work) -> Vec<MachineIx> {
-        let all = (0..self.machines.len()).map(|at| MachineIx(at as u32));
-        all.filter(|ix| !self.machines[ix.at()].parked && self.suits(*ix, work)).collect()
-    }
-
     /// Time to fetch the image over the expected run time.
     pub fn ratio(&self, work: &Work) -> f64 {
         let rates = self.kinds.iter().filter(|(kind, _)| work.info.allows_kind(**kind));
@@ -48,55 +51,116 @@
 
     /// The t split: cheap to move joins a shared queue, dear to move the shortest
     /// dedicated queue of a machine that has the image, else a shared one.
-    pub fn enqueue(&mut self, job: JobIx, task: u32) {
-        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
+    pub fn enqueue(&mut self, job: JobIx, tasks: &[u32]) {
         let Some(work) = self.work.get(&job) else {
             return;
         };
-        let rank = work.rank;
-        let machines = self.suiting(work);
-        let image = work.info.image;
         let dear = self.ratio(work) > self.tunables.t;
-        let holder = |ix: &&MachineIx| dear && self.machines[ix.at()].has_image(image);
-        let dedicated =
-            machines.iter().filter(holder).min_by_key(|ix| self.machines[ix.at()].dedicated.len()).copied();
-        let shared = || {
-            let sample = sample_size(machines.len());
-            let picks: Vec<&MachineIx> = machines.sample(&mut rng, sample).collect();
-            picks.into_iter().copied().min_by_key(|ix| {
-                let machine = &self.machines[ix.at()];
-                machine.shared.len() as u64 * 1_000_000 / machine.size.cpu.max(1)
-            })
-        };
-        let (queue, counter) = match (dedicated, dedicated.or_else(shared)) {
-            (Some(ix), _) => (&mut self.machines[ix.at()].dedicated, &mut self.counters.to_dedicated),
-            (None, Some(ix)) => (&mut self.machines[ix.at()].shared, &mut self.counters.to_shared),
-            (None, None) => (&mut self.backlog, &mut self.counters.to_shared),
-        };
-        queue.push(rank, task);
-        *counter += 1;
-        for machine in &mut self.machines {
-            machine.steal_paused = false;
+        let holders = if dear { self.image_holders(work) } else { Vec::new() };
+        let count = tasks.len();
+        if holders.is_empty() {
+            self.share_out(job, tasks);
+        } else {
+            self.dedicate(job, tasks, holders);
+        }
+        // Idle thieves gave up until tasks arrive (source): some for each task come back.
+        self.roster.wake(2 * count + 2);
+    }
+
+    fn image_holders(&self, work: &Work) -> Vec<MachineIx> {
+        let Some(holders) = self.holders.get(&work.info.image) else { return Vec::new() };
+        let able = |ix: &&MachineIx| self.roster.takes(**ix) && self.suits(**ix, work);
+        holders.iter().filter(able).copied().collect()
+    }
+
+    /// Each task joins the dedicated queue that is the shortest then.
+    fn dedicate(&mut self, job: JobIx, tasks: &[u32], holders: Vec<MachineIx>) {
+        let Some(rank) = self.work.get(&job).map(|work| work.rank) else { return };
+        self.counters.looked_at += holders.len() as u64;
+        self.counters.to_dedicated += tasks.len() as u64;
+        let length = |ix: &MachineIx| self.machines[ix.at()].dedicated.len();
+        let mut shortest: BTreeSet<(usize, MachineIx)> = holders.iter().map(|ix| (length(ix), *ix)).collect();
+        for task in tasks {
+            let Some((length, ix)) = shortest.pop_first() else { return };
+            self.machines[ix.at()].dedicated.push(rank, *task);
+            shortest.insert((length + 1, ix));
+            self.roster.dedicated(ix);
+            self.roster.room(ix);
+        }
+    }
+
+    /// Tasks join the shared queue of the best of a random sample, as many at once as it
+    /// has room for.
+    fn share_out(&mut self, job: JobIx, tasks: &[u32]) {
+        let Some(rank) = self.work.get(&job).map(|work| work.rank) else { return };
+        self.counters.to_shared += tasks.len() as u64;
+        let fair = tasks.len().div_ceil(self.roster.takers().len().max(1));
+        let mut rest = tasks;
+        while !rest.is_empty() {
+            let Some((ix, room)) = self.best_sampled(job) else {
+                for task in rest {
+                    self.backlog.push(rank, *task);
+                }
+                return;
+            };
+            let (now, later) = rest.split_at(rest.len().min(room.max(fair)));
+            for task in now {
+                self.machines[ix.at()].shared.push(rank, *task);
+            }
+            self.roster.room(ix);
+            rest = later;
+        }
+    }
+
+    /// The machine of a sample that can start most of the job's tasks, cheap ones first;
+    /// else the one with the shortest queue for its size. And how many it can start.
+    fn best_sampled(&mut self, job: JobIx) -> Option<(MachineIx, usize)> {
+        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
+        for _ in 0..SAMPLES {
+            let sample = self.roster.sample(&mut rng);
+            self.counters.looked_at += sample.len() as u64;
+            let best = self.best_of(job, sample.into_iter());
+            if best.is_some() {
+                return best;
+            }
         }
-        self.stirred = true;
+        // Few machines suit it: look at all before it is said that none does.
+        self.counters.looked_at += self.roster.takers().len() as u64;
+        self.best_of(job, self.roster.takers().iter().copied())
+    }
+
+    fn best_of(&self, job: JobIx, sample: impl Iterator<Item = MachineIx>) -> Option<(MachineIx, usize)> {
+        let work = self.work.get(&job)?;
+        let rated = sample.filter(|ix| self.suits(*ix, work)).map(|ix| {
+            let machine = &self.machines[ix.at()];
+            let queued = machine.shared.len() as u64;
+            let free = if machine.held_for.is_some() { 0 } else { work.info.need.count_in(&machine.free()) };
+            let room = free.saturating_sub(queued + machine.dedicated.len() as u64).min(1_000_000);
+            let load = queued * 1_000_000 / machine.size.cpu.max(1);
+            let price = (self.price_per_cpu(ix) * 1e9) as u64;
+            ((room == 0, if room == 0 { load } else { price }, u64::MAX - room), ix, room as usize)
+        });
+        rated.min_by_key(|(key, ..)| *key).map(|(_, ix, room)| (ix, room))
     }
 
     /// Places what can be placed.
     pub fn place(&mut self, clock: Clock) {
         self.wake(clock);
-        if !std::mem::take(&mut self.stirred) {
-            return;
-        }
         self.release_holds(clock);
-        self.place_gangs(clock);
-        self.spread_backlog();
+        if std::mem::take(&mut self.roster.backlog_due) {
+            self.spread_backlog();
+        }
+        if !self.gangs.is_empty() {
+            // Gangs come first, so nothing is filled before they have had a look.
+            if clock.now < self.gangs_next {
+                return;
+            }
+            self.gangs_next = clock.now.plus(GANGS_EVERY_MS);
+            self.place_gangs(clock);
+        }
         self.spill(clock);
-        let taking = |ix: &MachineIx| {
-            let machine = &self.machines[ix.at()];
-            machine.open() && !machine.parked && machine.held_for.is_none()
-        };
-        let mut order: Vec<MachineIx> = (0..self.machines.len()).map(|at| MachineIx(at as u32)).collect();
-        order.retain(taking);
+        let mut order = self.roster.take(clock.now);
+        order.retain(|ix| self.machines[ix.at()].held_for.is_none());
         // Cheap machines help themselves first, so that dear ones run empty.
         order.sort_by(|a, b| self.price_per_cpu(*a).total_cmp(&self.price_per_cpu(*b)));
         for ix in order {
@@ -104,30 +168,41 @@
         }
     }
 
+    /// Tasks may sit where they cannot start, and thieves may have missed them all: some
+    /// thieves that gave up try again.
+    pub fn sweep(&mut self) {
+        let waiting = |ix: &MachineIx| !self.machines[ix.at()].shared.is_empty();
+        if self.roster.takers().iter().any(waiting) {
+            self.roster.wake(SWEPT);
+        }
+    }
+
     /// Tasks that no machine could take, once one may.
     fn spread_backlog(&mut self) {
         for rank in self.backlog.ranks() {
             let Some(work) = self.work.get(&rank.job) else {
                 continue;
             };
-            if self.suiting(work).is_empty() {
+            if !self.roster.takers().iter().any(|ix| self.suits(*ix, work)) {
                 continue;
             }
+            let mut tasks = Vec::new();
             while let Some(task) = self.backlog.pop(rank) {
-                self.enqueue(rank.job, task);
+                tasks.push(task);
             }
+            self.enqueue(rank.job, &tasks);
         }
     }
 
     fn fill(&mut self, ix: MachineIx, clock: Clock) {
+        self.counters.looked_at += 1;
         let mut steals = 0;
         loop {
             // Dedicated first (source): those tasks wait for this machine alone.
             while self.bind_from(ix, true, clock) || self.bind_from(ix, false, clock) {}
             let machine = &self.machines[ix.at()];
             let idle = machine.shared.is_empty() && machine.free().cpu > 0;
-            let rested = !machine.steal_paused && clock.now >= machine.next_steal;
-            if !idle || !rested || steals >= STEALS_A_ROUND {
+            if !idle || clock.now < machine.next_steal || steals >= STEALS_A_ROUND {
                 return;
             }
             steals += 1;
@@ -147,12 +222,13 @@
         let free = machine.free();
         let may = |rank: &Rank| {
             self.work.get(&rank.job).is_some_and(|work| {
-                work.info.need.fits(&free)
-                    && self.suits(ix, work)
-                    && self.zone_allows(ix, work)
-                    && self.within_quota(work.info.team, &work.info.need)
+                work.info.need.fits(&free) && self.suits(ix, work) && self.zone_allows(ix, work)
             })
         };
+        let allowed = |rank: &Rank| {
+            let work = self.work.get(&rank.job);
+            work.is_some_and(|work| self.within_quota(work.info.team, &work.info.need))
+        };
         // Within one urgency: teams within their guarantee, then those that borrow; the
         // hopeless last of all.
         let order = |rank: &Rank| {
@@ -161,7 +237,12 @@
                 (work.info.urgency, self.hopeless(work, clock), borrows, *rank)
             })
         };
-        let Some(rank) = queue.ranks().into_iter().filter(may).min_by_key(order) else {
+        let mut able = queue.ranks();
+        able.retain(may);
+        let Some(rank) = able.iter().copied().filter(allowed).min_by_key(order) else {
+            if !able.is_empty() {
+                self.roster.limited(ix);
+            }
             return false;
         };
         let machine = &mut self.machines[ix.at()];
@@ -189,6 +270,7 @@
             need: info.need,
             team: Some(info.team),
             run: Run::Planned,
+            part: None,
             state: None,
             late: false,
             fetching_since: None,
@@ -197,18 +279,18 @@
             halt_sent: None,
             gone_by: None,
         };
+        let start = Start { machine: ix, task: binding.task, attempt };
         self.attach(ix, binding);
-        self.writer.urgent(ix);
+        self.history.start(start);
+        self.counters.bound += 1;
     }
 
     /// Takes half of what it could run from the longest of a random sample of shared
     /// queues, as many as the square root of all (source).
     fn steal(&mut self, thief: MachineIx, clock: Clock) -> bool {
-        let seed = self.rng.next_u64();
-        let queues: Vec<MachineIx> = (0..self.machines.len())
-            .map(|at| MachineIx(at as u32))
-            .filter(|ix| *ix != thief && self.machines[ix.at()].life == Life::Up)
-            .collect();
+        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
+        let sample = self.roster.sample(&mut rng);
+        self.counters.looked_at += sample.len() as u64;
         let free = self.machines[thief.at()].free();
         let wanted = |job: JobIx| {
             self.work.get(&job).is_some_and(|work| {
@@ -218,10 +300,10 @@
                     && self.within_quota(work.info.team, &work.info.need)
             })
         };
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let sample = queues.sample(&mut rng, sample_size(queues.len()));
         let longest = sample
-            .map(|ix| (self.machines[ix.at()].shared.count_where(wanted), *ix))
+            .into_iter()
+            .filter(|ix| *ix != thief)
+            .map(|ix| (self.machines[ix.at()].shared.count_where(wanted), ix))
             .max_by_key(|(count, _)| *count);
         let taken = match longest {
             Some((count, victim)) if count > 0 => {
@@ -241,14 +323,17 @@
         let first = self.tunables.steal_wait_ms;
         let machine = &mut self.machines[thief.at()];
         if taken.is_empty() {
-            machine.next_steal = clock.now.plus(machine.steal_wait_ms.ceil() as u64);
+            let wait = machine.steal_wait_ms;
+            machine.next_steal = clock.now.plus(wait.ceil() as u64);
             machine.steal_wait_ms *= 2.0;
             if machine.steal_wait_ms > bound {
-                machine.steal_paused = true;
                 machine.steal_wait_ms = first;
+                machine.next_steal = clock.now;
+                self.roster.rest(thief);
+            } else {
+                let until = machine.next_steal;
+                self.roster.nap(until, thief);
             }
-            // Somebody has to come back when the wait is over.
-            self.stirred = self.stirred || !machine.steal_paused;
             return;
         }
         machine.steal_wait_ms = first;
@@ -262,26 +347,28 @@
     /// A dedicated queue that would take longer than tt gives the share above tt away.
     fn spill(&mut self, clock: Clock) {
         let tt = self.tunables.tt_s;
-        for at in 0..self.machines.len() {
-            let waiting = self.machines[at].dedicated.len();
+        for ix in self.roster.with_dedicated() {
+            self.counters.looked_at += 1;
+            let waiting = self.machines[ix.at()].dedicated.len();
             if waiting == 0 {
+                self.roster.not_dedicated(ix);
                 continue;
             }
-            let run_time = waiting as f64 / self.throughput(MachineIx(at as u32), clock);
+            let run_time = waiting as f64 / self.throughput(ix, clock);
             if run_time <= tt {
                 continue;
             }
             let share = (run_time - tt) / run_time;
             let count = (share * waiting as f64).floor() as usize;
-            let machine = &mut self.machines[at];
+            let machine = &mut self.machines[ix.at()];
             let moved = machine.dedicated.take_back(count, |_| true);
-            self.counters.spilled += moved.len() as u64;
+            let count = moved.len();
             for (rank, task) in moved {
                 machine.shared.push(rank, task);
             }
-            for machine in &mut self.machines {
-                machine.steal_paused = false;
-            }
+            self.counters.spilled += count as u64;
+            self.roster.room(ix);
+            self.roster.wake(2 * count);
         }
     }
 
@@ -301,8 +388,3 @@
         promised.max(1e-3)
     }
 }
-
-/// The square root of all queues, rounded up (source).
-fn sample_size(queues: usize) -> usize {
-    (queues as f64).sqrt().ceil() as usize
-}
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -1,6 +1,6 @@
 //! Renting, draining and returning machines.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use super::plan::PAID_MS;
 use super::{Leader, Life, Work};
@@ -60,6 +60,8 @@
     catalog_next: Millis,
     planned: Millis,
     pub needed: HashSet<MachineIx>,
+    /// Machines that go back and are not returned yet; that is durable.
+    pub to_release: BTreeSet<MachineIx>,
 }
 
 /// Refused offers rest so long.
@@ -91,6 +93,7 @@
             catalog_next: Millis::default(),
             planned: Millis::default(),
             needed: HashSet::new(),
+            to_release: BTreeSet::new(),
         }
     }
 
@@ -192,9 +195,8 @@
         if self.fleet.releasing || clock.now < self.fleet.release_next {
             return;
         }
-        let ready = |machine: &&super::Machine| machine.return_recorded && machine.life != Life::Gone;
-        let machines: Vec<String> =
-            self.machines.iter().filter(ready).take(RELEASE_MOST).map(|m| m.name.clone()).collect();
+        let due = self.fleet.to_release.iter().take(RELEASE_MOST);
+        let machines: Vec<String> = due.map(|ix| self.machines[ix.at()].name.clone()).collect();
         if machines.is_empty() || !self.fleet.budget.take(clock.now, 1) {
             return;
         }
@@ -282,11 +284,9 @@
         if listed.state == ListedState::Failed && machine.life != Life::Gone && !machine.returning {
             // It stopped by itself: nothing runs there. It stays in the list until it is deleted.
             log::info!("machine {} failed", machine.name);
-            machine.returning = true;
             machine.life = Life::Silent;
+            self.send_back(ix);
             self.clear_machine(ix, clock);
-            self.spread_queues(ix);
-            self.writer.urgent(ix);
         }
     }
 
@@ -301,9 +301,12 @@
                 continue;
             };
             self.machines[ix.at()].life = Life::Gone;
+            self.fleet.to_release.remove(&ix);
+            self.history.gone(ix);
+            self.refresh(ix);
             self.clear_machine(ix, clock);
             self.spread_queues(ix);
-            self.writer.urgent(ix);
+            self.forget_images(ix);
         }
     }
 
@@ -414,9 +417,7 @@
                 _ => continue,
             };
             log::info!("machine {} goes back: {why}", machine.name);
-            self.machines[at].returning = true;
-            self.spread_queues(ix);
-            self.writer.urgent(ix);
+            self.send_back(ix);
         }
     }
 
--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -4,7 +4,7 @@
 
 use super::queues::Rank;
 use super::{Binding, Leader, Run, Work};
-use crate::bookkeeping::ids::{Amount, JobIx, MachineIx, ZoneIx};
+use crate::bookkeeping::ids::{Amount, JobIx, MachineIx, Millis, ZoneIx};
 use crate::coordination::Clock;
 use crate::protocol::users::Shape;
 
@@ -55,11 +55,7 @@
         for (task, ix) in tasks.iter().zip(machines) {
             self.bind(*ix, rank.job, *task, attempt);
         }
-        for machine in &mut self.machines {
-            if machine.held_for.is_some_and(|(job, _)| job == rank.job) {
-                machine.held_for = None;
-            }
-        }
+        self.drop_holds(rank.job);
         self.gangs.remove(&rank);
     }
 
@@ -68,7 +64,7 @@
     fn slots(&self, job: JobIx, count: usize, after_halts: bool, clock: Clock) -> Option<Slots> {
         let work = self.work.get(&job)?;
         let zones: Vec<Option<ZoneIx>> = if work.info.one_zone {
-            let mut zones: Vec<ZoneIx> = self.machines.iter().map(|machine| machine.zone).collect();
+            let mut zones: Vec<ZoneIx> = self.kinds.values().flat_map(|kind| kind.zones.clone()).collect();
             zones.sort();
             zones.dedup();
             zones.into_iter().map(Some).collect()
@@ -88,9 +84,9 @@
         after_halts: Option<Clock>,
     ) -> Option<Slots> {
         let mut candidates: Vec<(u64, u64, MachineIx)> = Vec::new();
-        for at in 0..self.machines.len() {
-            let ix = MachineIx(at as u32);
-            let machine = &self.machines[at];
+        for ix in self.roster.open() {
+            let ix = *ix;
+            let machine = &self.machines[ix.at()];
             let held = machine.held_for.is_some_and(|(holder, _)| holder != job);
             let here = zone.is_none_or(|zone| zone == machine.zone);
             if held || !here || !self.suits(ix, work) || !self.zone_allows(ix, work) {
@@ -182,10 +178,8 @@
 
     /// Holds machines for a gang and stops less urgent tasks on them.
     fn make_room(&mut self, rank: Rank, machines: &[MachineIx], clock: Clock) {
-        let held = |leader: &Leader| {
-            leader.machines.iter().any(|machine| machine.held_for.is_some_and(|(job, _)| job == rank.job))
-        };
-        if held(self) {
+        let ours = |ix: &MachineIx| self.machines[ix.at()].held_for.is_some_and(|(job, _)| job == rank.job);
+        if self.held.iter().any(ours) {
             return;
         }
         let Some(work) = self.work.get(&rank.job) else {
@@ -201,6 +195,7 @@
         wanted.sort();
         for (ix, tasks) in wanted {
             self.machines[ix.at()].held_for = Some((rank.job, until));
+            self.held.insert(ix);
             self.halt_for(ix, &need.times(tasks), rank.job, clock);
         }
     }
@@ -275,9 +270,21 @@
     }
 
     pub fn release_holds(&mut self, clock: Clock) {
-        for machine in &mut self.machines {
-            if machine.held_for.is_some_and(|(_, until)| until <= clock.now) {
+        self.release_where(|(_, until)| until <= clock.now);
+    }
+
+    pub fn drop_holds(&mut self, job: JobIx) {
+        self.release_where(|(holder, _)| holder == job);
+    }
+
+    fn release_where(&mut self, over: impl Fn((JobIx, Millis)) -> bool) {
+        let held: Vec<MachineIx> = self.held.iter().copied().collect();
+        for ix in held {
+            let machine = &mut self.machines[ix.at()];
+            if machine.held_for.is_none_or(&over) {
                 machine.held_for = None;
+                self.held.remove(&ix);
+                self.roster.room(ix);
             }
         }
     }
--- /dev/null
+++ b/src/coordination/leader/history.rs
@@ -0,0 +1,338 @@
+//! The leader's log at the state service: which tasks may be on which machines, which
+//! machines go back, which tasks finished. Changes a second are the scarcest good there,
+//! so one part of the log tells of everything since the one before, however many machines
+//! that concerns. A part is removed once nothing in it counts any more.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+use super::{Leader, Life, Run};
+use crate::bookkeeping::bits::Bits;
+use crate::bookkeeping::ids::{Attempt, JobId, MachineIx, Millis, TaskRef, Token};
+use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::records::{Key, LogRecord, Place};
+use crate::coordination::Clock;
+
+/// A part of the log, numbered in the order of writing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartId(u64);
+
+/// A task that may be on a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Start {
+    pub machine: MachineIx,
+    pub task: TaskRef,
+    pub attempt: Attempt,
+}
+
+/// A part of the log that is durable, and what of it still counts.
+#[derive(Debug)]
+struct Part {
+    key: Key,
+    starts: HashSet<Start>,
+    returns: BTreeSet<MachineIx>,
+    /// Blocks of finished tasks that no other record tells of.
+    finished: BTreeSet<(JobId, u32)>,
+    /// What counts is being written again, to a newer part.
+    moving: bool,
+}
+
+impl Part {
+    fn new(key: Key) -> Part {
+        Part {
+            key,
+            starts: HashSet::new(),
+            returns: BTreeSet::new(),
+            finished: BTreeSet::new(),
+            moving: false,
+        }
+    }
+
+    fn counts(&self) -> bool {
+        !(self.starts.is_empty() && self.returns.is_empty() && self.finished.is_empty())
+    }
+}
+
+/// What a part that is being written tells.
+#[derive(Debug, Clone, Default)]
+pub struct Told {
+    name: String,
+    starts: Vec<Start>,
+    returns: Vec<MachineIx>,
+    finished: Vec<TaskRef>,
+}
+
+#[derive(Debug, Default)]
+pub struct History {
+    parts: BTreeMap<PartId, Part>,
+    next_part: u64,
+    next_name: u64,
+    /// To be told with the next part, by machine.
+    starts: BTreeSet<Start>,
+    returns: BTreeSet<MachineIx>,
+    finished: BTreeSet<TaskRef>,
+    finished_since: Option<Millis>,
+    written: Millis,
+}
+
+/// With more parts than that, the oldest is emptied: what counts in it is written again.
+const MOST_PARTS: usize = 48;
+/// Finished tasks wait so long for a part that is written anyway.
+const FINISHED_MS: u64 = 1_000;
+/// The part of the leader's changes that may be new parts of the log: removing a part
+/// costs a change as well, and other records need some.
+const LOG_SHARE: f64 = 0.4;
+
+impl History {
+    pub fn start(&mut self, start: Start) {
+        self.starts.insert(start);
+    }
+
+    pub fn going_back(&mut self, machine: MachineIx) {
+        self.returns.insert(machine);
+    }
+
+    pub fn finished(&mut self, task: TaskRef, now: Millis) {
+        self.finished.insert(task);
+        self.finished_since.get_or_insert(now);
+    }
+
+    /// Certainly not there any more.
+    pub fn left(&mut self, part: Option<PartId>, start: Start) {
+        self.starts.remove(&start);
+        if let Some(part) = part.and_then(|part| self.parts.get_mut(&part)) {
+            part.starts.remove(&start);
+        }
+    }
+
+    /// The machine is gone: that it goes back is of no interest any more.
+    pub fn gone(&mut self, machine: MachineIx) {
+        self.returns.remove(&machine);
+        for part in self.parts.values_mut() {
+            part.returns.remove(&machine);
+        }
+    }
+
+    /// The job's end, or the whole of a block, is told by a record of its own.
+    pub fn told_elsewhere(&mut self, job: JobId, block: Option<u32>) {
+        let over = |of: JobId, at: u32| of == job && block.is_none_or(|block| block == at);
+        for part in self.parts.values_mut() {
+            part.finished.retain(|(of, at)| !over(*of, *at));
+        }
+        if block.is_none() {
+            self.finished.retain(|task| task.job != job);
+        }
+    }
+
+    /// Blocks that have to be told by a record of their own, so that old parts can go.
+    pub fn blocks_due(&self) -> Vec<(JobId, u32)> {
+        let surplus = self.parts.len().saturating_sub(MOST_PARTS);
+        let old = self.parts.values().take(surplus);
+        old.flat_map(|part| part.finished.iter().copied()).collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
+    /// Parts in which nothing counts.
+    pub fn spent(&self) -> Vec<(PartId, Key)> {
+        let spent = self.parts.iter().filter(|(_, part)| !part.counts());
+        spent.map(|(id, part)| (*id, part.key.clone())).collect()
+    }
+
+    pub fn removed(&mut self, part: PartId) {
+        self.parts.remove(&part);
+    }
+
+    pub fn parts(&self) -> usize {
+        self.parts.len()
+    }
+
+    fn add_part(&mut self, key: Key) -> PartId {
+        let id = PartId(self.next_part);
+        self.next_part += 1;
+        self.parts.insert(id, Part::new(key));
+        id
+    }
+
+    /// A part of an earlier leader's, oldest first.
+    pub fn inherit(&mut self, key: Key) -> PartId {
+        self.add_part(key)
+    }
+
+    pub fn inherit_start(&mut self, part: PartId, start: Start) {
+        if let Some(part) = self.parts.get_mut(&part) {
+            part.starts.insert(start);
+        }
+    }
+
+    pub fn inherit_return(&mut self, part: PartId, machine: MachineIx) {
+        if let Some(part) = self.parts.get_mut(&part) {
+            part.returns.insert(machine);
+        }
+    }
+
+    pub fn inherit_finished(&mut self, part: PartId, job: JobId, block: u32) {
+        if let Some(part) = self.parts.get_mut(&part) {
+            part.finished.insert((job, block));
+        }
+    }
+
+    /// Writes again what counts in the oldest parts, so that their number stays bounded.
+    fn move_oldest(&mut self) {
+        let surplus = self.parts.len().saturating_sub(MOST_PARTS);
+        for part in self.parts.values_mut().take(surplus).filter(|part| !part.moving) {
+            part.moving = true;
+            self.starts.extend(part.starts.iter().copied());
+            self.returns.extend(part.returns.iter().copied());
+        }
+    }
+
+    /// Is it time for another part? With changes to spare at once, else in measured steps,
+    /// so that many starts share one change.
+    fn due(&self, now: Millis, spare: usize, per_second: f64) -> bool {
+        let told = self.finished_since.is_some_and(|since| now.since(since) >= FINISHED_MS);
+        if self.starts.is_empty() && self.returns.is_empty() && !told {
+            return false;
+        }
+        let gap_ms = (1000.0 / (LOG_SHARE * per_second.max(0.1))) as u64;
+        spare as f64 >= per_second * 0.6 || now.since(self.written) >= gap_ms
+    }
+
+    /// The name of the next part. One of that name may be there already, written by a
+    /// transaction whose answer was lost: all it tells is written again, under another name.
+    fn name(&mut self, token: Token, mirror: &Mirror) -> String {
+        loop {
+            let name = format!("{}-{}", token.0, self.next_name);
+            if !mirror.log.contains_key(&name) {
+                return name;
+            }
+            self.add_part(Key::Log(name));
+            self.next_name += 1;
+        }
+    }
+
+    /// What was to be told is told after all with a later part.
+    pub fn untold(&mut self, told: Told, now: Millis) {
+        self.starts.extend(told.starts);
+        self.returns.extend(told.returns);
+        if !told.finished.is_empty() {
+            self.finished_since.get_or_insert(now);
+            self.finished.extend(told.finished);
+        }
+    }
+}
+
+impl Leader {
+    /// The next part of the log, if one is due: its name, its content, what it tells.
+    pub fn next_part(
+        &mut self,
+        clock: Clock,
+        mirror: &Mirror,
+        spare: usize,
+        per_second: f64,
+    ) -> Option<(Key, LogRecord, Told)> {
+        self.history.move_oldest();
+        if !self.history.due(clock.now, spare, per_second) {
+            return None;
+        }
+        let most = (self.settings.state_limits.value_kb * 1024.0) as usize;
+        let name = self.history.name(self.token, mirror);
+        let mut record = LogRecord::new(Attempt(self.token.0 << super::ATTEMPTS_BITS));
+        let mut told = Told { name: name.clone(), ..Told::default() };
+        self.tell_machines(mirror, &mut record, &mut told, most);
+        self.tell_finished(&mut record, &mut told, most);
+        if record.is_empty() {
+            return None;
+        }
+        self.history.written = clock.now;
+        Some((Key::Log(name), record, told))
+    }
+
+    fn tell_machines(&mut self, mirror: &Mirror, record: &mut LogRecord, told: &mut Told, most: usize) {
+        while let Some(start) = self.history.starts.first().copied() {
+            // With room for the machine and some tasks of it.
+            if record.bytes() + 400 > most {
+                return;
+            }
+            self.tell_machine(start.machine, mirror, record, told, most);
+        }
+        while let Some(ix) = self.history.returns.first().copied() {
+            if record.bytes() + 400 > most {
+                return;
+            }
+            self.tell_machine(ix, mirror, record, told, most);
+        }
+    }
+
+    fn tell_machine(
+        &mut self,
+        ix: MachineIx,
+        mirror: &Mirror,
+        record: &mut LogRecord,
+        told: &mut Told,
+        most: usize,
+    ) {
+        let machine = &self.machines[ix.at()];
+        record.machine(&Place {
+            name: machine.name.clone(),
+            endpoint: machine.endpoint.clone(),
+            kind: mirror.names.kinds.name_at(machine.kind.at()).into(),
+            zone: mirror.names.zones.name_at(machine.zone.at()).into(),
+            spot: machine.spot,
+        });
+        if self.history.returns.remove(&ix) && machine.life != Life::Gone {
+            record.returning();
+            told.returns.push(ix);
+        }
+        while let Some(start) = self.history.starts.first().copied().filter(|start| start.machine == ix) {
+            if record.bytes() + 60 > most {
+                return;
+            }
+            self.history.starts.remove(&start);
+            record.start(start.task, start.attempt);
+            told.starts.push(start);
+        }
+    }
+
+    fn tell_finished(&mut self, record: &mut LogRecord, told: &mut Told, most: usize) {
+        while let Some(task) = self.history.finished.first().copied() {
+            if record.bytes() + 60 > most {
+                return;
+            }
+            self.history.finished.remove(&task);
+            record.done(task);
+            told.finished.push(task);
+        }
+        self.history.finished_since = None;
+    }
+
+    /// A part of the log is durable: what it tells may be acted on.
+    pub fn told(&mut self, told: Told, mirror: &Mirror) {
+        self.history.next_name += 1;
+        let id = self.history.add_part(Key::Log(told.name));
+        for start in told.starts {
+            let machine = &mut self.machines[start.machine.at()];
+            let here = |b: &&mut super::Binding| b.task == start.task && b.attempt == start.attempt;
+            let Some(binding) = machine.bindings.iter_mut().find(here) else { continue };
+            let before = binding.part.replace(id);
+            if binding.run == Run::Planned {
+                binding.run = Run::Recorded;
+                self.to_tell.insert(start.machine);
+            }
+            self.history.left(before, start);
+            self.history.inherit_start(id, start);
+        }
+        for ix in told.returns {
+            let machine = &mut self.machines[ix.at()];
+            if machine.life == Life::Gone {
+                continue;
+            }
+            machine.return_recorded = true;
+            self.fleet.to_release.insert(ix);
+            self.history.gone(ix);
+            self.history.inherit_return(id, ix);
+        }
+        for task in told.finished {
+            if mirror.end_of(task.job).is_none() && mirror.find(task.job).is_some() {
+                self.history.inherit_finished(id, task.job, Bits::block_of(task.task));
+            }
+        }
+    }
+}
--- a/src/coordination/leader/inherit.rs
+++ b/src/coordination/leader/inherit.rs
@@ -1,45 +1,95 @@
 //! What a new leader takes over from the records of earlier ones.
 
+use super::history::{PartId, Start};
 use super::{Binding, Leader, Life, Run, Work};
-use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, TaskRef};
+use crate::bookkeeping::bits::Bits;
+use crate::bookkeeping::ids::{Attempt, JobId, JobIx, MachineIx, TaskRef};
 use crate::bookkeeping::mirror::Mirror;
-use crate::bookkeeping::records::MachineRecord;
+use crate::bookkeeping::records::{Key, Recorded};
 use crate::coordination::Clock;
 
+/// A part of an earlier leader's log: its key, its machines, blocks with tasks that finished.
+type OldPart = (Key, Vec<Recorded>, Vec<(JobId, u32)>);
+
 impl Leader {
+    /// Parts of the log, oldest first, and what they say. Records of the form before the
+    /// log count as parts of one machine each.
     pub(super) fn inherit_machines(&mut self, mirror: &mut Mirror, clock: Clock) {
-        let records: Vec<(String, MachineRecord)> =
-            mirror.machines.iter().map(|(name, record)| (name.clone(), record.clone())).collect();
-        for (name, record) in records {
-            let kind = mirror.names.kinds.intern(&record.kind);
-            let zone = mirror.names.zones.intern(&record.zone);
-            let ix = self.add_machine(&name, &record.endpoint, kind, zone, record.spot, clock);
-            let machine = &mut self.machines[ix.at()];
-            machine.life = Life::Up;
-            machine.returning = record.returning;
-            machine.return_recorded = record.returning;
-            for (task, attempt) in record.tasks() {
-                self.inherit_binding(ix, task, attempt, mirror, clock);
+        let mut parts: Vec<OldPart> = Vec::new();
+        for (name, record) in &mirror.machines {
+            parts.push((Key::Machine(name.clone()), vec![record.recorded(name)], Vec::new()));
+        }
+        for (name, record) in &mirror.log {
+            let blocks = record.done_rows().flat_map(|(job, first, count)| {
+                let last = first.saturating_add(count.max(1) - 1);
+                (Bits::block_of(first)..=Bits::block_of(last)).map(move |block| (job, block))
+            });
+            parts.push((Key::Log(name.clone()), record.machines().collect(), blocks.collect()));
+        }
+        parts.sort_by_key(|(key, ..)| mirror.stamp(&key.text()));
+        for (key, machines, blocks) in parts {
+            let part = self.history.inherit(key);
+            for (job, block) in blocks {
+                if mirror.end_of(job).is_none() && mirror.find(job).is_some() {
+                    self.history.inherit_finished(part, job, block);
+                }
             }
-            // Hearing the new token early ends the old leader's say at once.
-            self.to_tell.insert(ix);
+            for recorded in machines {
+                self.inherit_machine(part, &recorded, mirror, clock);
+            }
+        }
+    }
+
+    /// Of a machine whose tasks have all finished nothing needs to be remembered.
+    fn inherit_machine(&mut self, part: PartId, recorded: &Recorded, mirror: &mut Mirror, clock: Clock) {
+        let of_interest = |task: &TaskRef| {
+            // A job's record goes only once none of its tasks is anywhere.
+            mirror.find_job(task.job).is_some_and(|job| !job.finished.has(task.task))
+        };
+        let tasks: Vec<(TaskRef, Attempt)> =
+            recorded.tasks.iter().filter(|(task, _)| of_interest(task)).copied().collect();
+        if tasks.is_empty() && !recorded.returning {
+            return;
+        }
+        let place = &recorded.place;
+        let kind = mirror.names.kinds.intern(&place.kind);
+        let zone = mirror.names.zones.intern(&place.zone);
+        let ix = self.add_machine(&place.name, &place.endpoint, kind, zone, place.spot, clock);
+        let machine = &mut self.machines[ix.at()];
+        machine.life = Life::Up;
+        if recorded.returning {
+            machine.returning = true;
+            machine.return_recorded = true;
+            self.history.inherit_return(part, ix);
+            self.fleet.to_release.insert(ix);
+        }
+        for (task, attempt) in tasks {
+            self.inherit_binding(ix, part, task, attempt, mirror, clock);
         }
+        // Hearing the new token early ends the old leader's say at once.
+        self.to_tell.insert(ix);
     }
 
     fn inherit_binding(
         &mut self,
         ix: MachineIx,
+        part: PartId,
         task: TaskRef,
         attempt: Attempt,
         mirror: &Mirror,
         clock: Clock,
     ) {
-        let job = mirror.find(task.job);
-        let info = job.and_then(|job| mirror.job(job));
-        // A finished task only waits to be reaped.
-        if info.is_some_and(|job| job.finished.has(task.task)) {
+        let start = Start { machine: ix, task, attempt };
+        let known = |b: &&mut Binding| b.task == task && b.attempt == attempt;
+        if let Some(binding) = self.machines[ix.at()].bindings.iter_mut().find(known) {
+            // Told again by a later part.
+            let before = binding.part.replace(part);
+            self.history.left(before, start);
+            self.history.inherit_start(part, start);
             return;
         }
+        let job = mirror.find(task.job);
+        let info = job.and_then(|job| mirror.job(job));
         let withdrawn = info.and_then(|job| job.end).map(|(_, at)| self.gone_by(at, clock));
         let binding = Binding {
             task,
@@ -48,6 +98,7 @@
             need: info.map(|job| job.info.need).unwrap_or_default(),
             team: info.map(|job| job.info.team),
             run: Run::Inherited,
+            part: Some(part),
             state: None,
             late: false,
             fetching_since: None,
@@ -57,6 +108,7 @@
             gone_by: withdrawn,
         };
         self.attach(ix, binding);
+        self.history.inherit_start(part, start);
     }
 
     pub(super) fn inherit_jobs(&mut self, mirror: &Mirror, clock: Clock) {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -4,11 +4,13 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod gangs;
+pub mod history;
 pub mod inherit;
 pub mod orders;
 pub mod plan;
 pub mod queues;
 pub mod reports;
+pub mod roster;
 pub mod silence;
 pub mod withdraw;
 pub mod writer;
@@ -27,12 +29,14 @@
 };
 use crate::bookkeeping::jobs::JobInfo;
 use crate::bookkeeping::mirror::Mirror;
-use crate::bookkeeping::records::MachineRecord;
+use crate::bookkeeping::records::most_tasks;
 use crate::protocol::workers::TaskState;
 use crate::settings::{Settings, Team};
 use crate::tunables::Tunables;
 use fleet::Fleet;
+use history::{History, PartId, Start};
 use queues::Queue;
+use roster::Roster;
 use writer::Writer;
 
 /// How far the run command of a task has come.
@@ -62,6 +66,8 @@
     pub need: Amount,
     pub team: Option<TeamIx>,
     pub run: Run,
+    /// The part of the log that tells of it.
+    pub part: Option<PartId>,
     pub state: Option<TaskState>,
     /// A direct command without an answer may still arrive.
     pub late: bool,
@@ -111,7 +117,6 @@
     pub dedicated: Queue,
     pub steal_wait_ms: f64,
     pub next_steal: Millis,
-    pub steal_paused: bool,
     pub held_for: Option<(JobIx, Millis)>,
     /// Images it should have, most recently used last, with their size.
     pub images: Vec<(ImageIx, u64)>,
@@ -201,6 +206,11 @@
     pub spilled: u64,
     pub preempted: u64,
     pub lost_machines: u64,
+    /// Tasks bound to machines, and machines looked at to fill them or to steal from.
+    pub bound: u64,
+    pub looked_at: u64,
+    /// Changes asked of the state service.
+    pub changes: u64,
 }
 
 #[derive(Debug)]
@@ -222,17 +232,26 @@
     pub backlog: Queue,
     /// Tasks that wait before they are tried again.
     delayed: BTreeMap<Millis, Vec<(JobIx, u32)>>,
+    /// Machines held for gangs.
+    pub held: BTreeSet<MachineIx>,
     /// Gangs and services with tasks to place.
     pub gangs: BTreeSet<queues::Rank>,
     pub writer: Writer,
+    pub history: History,
     pub fleet: Fleet,
     pub counters: Counters,
     pub settings: Arc<Settings>,
     pub tunables: Arc<Tunables>,
     most_tasks: usize,
     rng: SmallRng,
-    /// Something changed that placement should look at.
-    pub stirred: bool,
+    /// Tasks of each job that may be somewhere.
+    pub bound: HashMap<JobId, u32>,
+    /// Which machines placement has to look at.
+    pub roster: Roster,
+    /// Machines that should have an image.
+    holders: HashMap<ImageIx, BTreeSet<MachineIx>>,
+    /// Waiting gangs are not tried before.
+    gangs_next: Millis,
     /// Machines that should hear from us without waiting for their report.
     pub to_tell: BTreeSet<MachineIx>,
 }
@@ -269,15 +288,20 @@
             aims: HashMap::new(),
             backlog: Queue::default(),
             delayed: BTreeMap::new(),
+            held: BTreeSet::new(),
             gangs: BTreeSet::new(),
             writer: Writer::default(),
+            history: History::default(),
             fleet: Fleet::new(settings.cloud_rps, token, clock.now),
             counters: Counters::default(),
             settings: settings.clone(),
             tunables: tunables.clone(),
-            most_tasks: MachineRecord::most_tasks(settings.state_limits.value_kb),
+            most_tasks: most_tasks(settings.state_limits.value_kb),
             rng: SmallRng::seed_from_u64(seed),
-            stirred: true,
+            bound: HashMap::new(),
+            roster: Roster::default(),
+            holders: HashMap::new(),
+            gangs_next: Millis::default(),
             to_tell: BTreeSet::new(),
         };
         for team in &settings.teams {
@@ -336,7 +360,7 @@
                 machine.size = kind.size;
             }
         }
-        self.stirred = true;
+        self.roster.backlog_due = true;
     }
 
     /// A job that the mirror holds. Its ready tasks are queued by `queue_missing`.
@@ -373,13 +397,11 @@
         }
         if work.info.together() {
             self.gangs.insert(work.rank);
+            self.gangs_next = Millis::default();
         } else {
             let tasks: Vec<u32> = work.done.missing().filter(|task| !work.out.contains_key(task)).collect();
-            for task in tasks {
-                self.enqueue(ix, task);
-            }
+            self.enqueue(ix, &tasks);
         }
-        self.stirred = true;
     }
 
     pub fn end_job(&mut self, ix: JobIx) {
@@ -427,7 +449,6 @@
             dedicated: Queue::default(),
             steal_wait_ms: self.tunables.steal_wait_ms,
             next_steal: Millis::default(),
-            steal_paused: false,
             held_for: None,
             images: Vec::new(),
             direct_open: false,
@@ -455,6 +476,7 @@
             work.out.entry(binding.task.task).or_default().push((ix, binding.attempt));
             *work.zones.entry(machine.zone).or_default() += 1;
         }
+        *self.bound.entry(binding.task.job).or_default() += 1;
         machine.bindings.push(binding);
     }
 
@@ -485,10 +507,15 @@
                 }
             }
         }
-        if binding.run != Run::Planned {
-            self.writer.stale(ix);
+        if let Some(count) = self.bound.get_mut(&binding.task.job) {
+            *count -= 1;
+            if *count == 0 {
+                self.bound.remove(&binding.task.job);
+            }
         }
-        self.stirred = true;
+        let start = Start { machine: ix, task: binding.task, attempt: binding.attempt };
+        self.history.left(binding.part, start);
+        self.roster.room(ix);
         binding
     }
 
@@ -507,12 +534,39 @@
         let machine = &mut self.machines[ix.at()];
         machine.images.retain(|(held, _)| *held != image);
         machine.images.push((image, mb));
+        self.holders.entry(image).or_default().insert(ix);
         let cache = self.kinds.get(&machine.kind).map_or(u64::MAX, |kind| kind.cache_mb);
         while machine.images.len() > 1 && machine.images.iter().map(|(_, mb)| mb).sum::<u64>() > cache {
-            machine.images.remove(0);
+            let (dropped, _) = machine.images.remove(0);
+            if let Some(holders) = self.holders.get_mut(&dropped) {
+                holders.remove(&ix);
+            }
+        }
+    }
+
+    /// Nothing is known of its images any more.
+    pub fn forget_images(&mut self, ix: MachineIx) {
+        for (image, _) in std::mem::take(&mut self.machines[ix.at()].images) {
+            if let Some(holders) = self.holders.get_mut(&image) {
+                holders.remove(&ix);
+            }
         }
     }
 
+    /// Something changed that decides whether the machine takes queued tasks.
+    pub fn refresh(&mut self, ix: MachineIx) {
+        let machine = &self.machines[ix.at()];
+        self.roster.set(ix, machine.open(), machine.parked);
+    }
+
+    /// It stops working, or never started: it is returned.
+    pub fn send_back(&mut self, ix: MachineIx) {
+        self.machines[ix.at()].returning = true;
+        self.refresh(ix);
+        self.spread_queues(ix);
+        self.history.going_back(ix);
+    }
+
     /// Puts a task back in line, unless its job has ended.
     pub fn requeue(&mut self, binding: &Binding, delay_ms: u64, clock: Clock) {
         let Some(ix) = binding.job else { return };
@@ -528,7 +582,7 @@
             let at = clock.now.plus(delay_ms);
             self.delayed.entry(at).or_default().push((ix, binding.task.task));
         } else {
-            self.enqueue(ix, binding.task.task);
+            self.enqueue(ix, &[binding.task.task]);
         }
     }
 
@@ -547,9 +601,8 @@
                 if work.info.together() {
                     self.gangs.insert(work.rank);
                 } else {
-                    self.enqueue(ix, task);
+                    self.enqueue(ix, &[task]);
                 }
-                self.stirred = true;
             }
         }
     }
@@ -596,8 +649,12 @@
         let machine = &mut self.machines[ix.at()];
         let mut tasks = machine.shared.drain();
         tasks.extend(machine.dedicated.drain());
+        let mut by_job: BTreeMap<JobIx, Vec<u32>> = BTreeMap::new();
         for (rank, task) in tasks {
-            self.enqueue(rank.job, task);
+            by_job.entry(rank.job).or_default().push(task);
+        }
+        for (job, tasks) in by_job {
+            self.enqueue(job, &tasks);
         }
     }
 }
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/plan.rs
@@ -78,7 +78,7 @@
                 continue;
             }
             self.machines[at].parked = parked;
-            self.stirred = true;
+            self.refresh(ix);
             if parked {
                 self.spread_queues(ix);
             }
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -44,12 +44,13 @@
         let newer = self.is_newer(ix, report);
         if newer {
             self.observe(ix, clock, report);
-            self.adopt_done(mirror, report);
+            self.adopt_done(mirror, report, clock);
         }
         if newer && report.token == self.token {
             self.machines[ix.at()].confirmed = true;
             self.absent(ix, clock, report);
         }
+        self.refresh(ix);
         let overdue = |binding: &Binding| binding.gone_by.is_some_and(|by| by <= clock.now);
         if self.machines[ix.at()].bindings.iter().any(overdue) {
             return Verdict::Starve;
@@ -59,7 +60,6 @@
             // It hears of us only now; orders follow once it shows the token.
             return Verdict::Orders(Vec::new());
         }
-        self.stirred = true;
         let mut orders = self.reaps(ix, mirror, report);
         orders.extend(self.orders(ix, clock, Some(report.tick), may_run));
         Verdict::Orders(orders)
@@ -70,7 +70,7 @@
     pub fn observe_direct(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
         if self.is_newer(ix, report) {
             self.observe(ix, clock, report);
-            self.stirred = true;
+            self.refresh(ix);
         }
     }
 
@@ -86,7 +86,6 @@
         }
         if matches!(machine.life, Life::Booting | Life::Silent) {
             machine.life = Life::Up;
-            self.stirred = true;
         }
         ix
     }
@@ -110,6 +109,7 @@
                 if machine.notice_until.is_none() {
                     log::info!("machine {} is taken back in {ms} ms", machine.name);
                     machine.notice_until = Some(until);
+                    self.refresh(ix);
                     self.on_notice(ix, ms);
                 }
             }
@@ -132,7 +132,7 @@
             let binding = self.detach(ix, at, clock);
             self.requeue(&binding, 0, clock);
         }
-        self.machines[ix.at()].images.clear();
+        self.forget_images(ix);
     }
 
     fn piece(&mut self, ix: MachineIx, clock: Clock, piece: &Piece) {
@@ -189,6 +189,7 @@
             need: Default::default(),
             team: None,
             run: Run::Seen,
+            part: None,
             state: Some(state),
             late: false,
             fetching_since: None,
@@ -275,6 +276,7 @@
         if machine.errors.len() >= SICK_JOBS && !machine.sick {
             log::info!("machine {} taken for sick", machine.name);
             machine.sick = true;
+            self.refresh(ix);
             self.spread_queues(ix);
         }
     }
@@ -299,15 +301,16 @@
             if runs >= COMPARED_RUNS && sum > SLOW * f64::from(runs) && !machine.slow {
                 log::info!("machine {} taken for slow", machine.name);
                 machine.slow = true;
+                self.roster.set(ix, false, false);
             }
             // Only runs that were seen from start to end say how long a task takes.
             work.runs += 1;
             work.run_ms += clock.now.since(since);
         }
-        self.task_done(job, binding.task);
+        self.task_done(job, binding.task, clock);
     }
 
-    fn task_done(&mut self, ix: JobIx, task: TaskRef) {
+    fn task_done(&mut self, ix: JobIx, task: TaskRef, clock: Clock) {
         let Some(work) = self.work.get_mut(&ix) else {
             return;
         };
@@ -316,8 +319,8 @@
             for task in 0..work.info.tasks {
                 work.done.set(task);
             }
-        } else if work.done.set(task.task) {
-            self.writer.finished(task);
+        } else if work.done.set(task.task) && !work.done.full() {
+            self.history.finished(task, clock.now);
         }
         if work.done.full() {
             self.end_job(ix);
@@ -348,7 +351,7 @@
     }
 
     /// A `done` of a task that an earlier leader had started and taken off its record.
-    pub fn adopt_done(&mut self, mirror: &Mirror, report: &Report) {
+    pub fn adopt_done(&mut self, mirror: &Mirror, report: &Report, clock: Clock) {
         for piece in &report.pieces {
             if piece.state != TaskState::Exited(ExitCause::Done) {
                 continue;
@@ -362,7 +365,7 @@
             if work.out.contains_key(&piece.task.task) {
                 continue;
             }
-            self.task_done(ix, piece.task);
+            self.task_done(ix, piece.task, clock);
         }
     }
 }
--- a/src/coordination/leader/silence.rs
+++ b/src/coordination/leader/silence.rs
@@ -41,13 +41,11 @@
         }
         for ix in quiet {
             let empty_at = self.empty_at(&self.machines[ix.at()]);
-            let machine = &mut self.machines[ix.at()];
+            let machine = &self.machines[ix.at()];
             let sooner = empty_at.since(clock.now) > WORTH_MS;
             if machine.spot && sooner && !machine.bindings.is_empty() {
                 log::info!("machine {} goes back: a spot machine that is silent", machine.name);
-                machine.returning = true;
-                self.spread_queues(ix);
-                self.writer.urgent(ix);
+                self.send_back(ix);
             }
         }
     }
@@ -78,6 +76,7 @@
             machine.life = Life::Silent;
             machine.held_for = None;
             machine.idle_since = clock.now;
+            self.refresh(ix);
             self.clear_machine(ix, clock);
             self.spread_queues(ix);
         }
--- a/src/coordination/leader/withdraw.rs
+++ b/src/coordination/leader/withdraw.rs
@@ -26,10 +26,8 @@
             for machine in &mut self.machines {
                 machine.shared.drop_job(ix);
                 machine.dedicated.drop_job(ix);
-                if machine.held_for.is_some_and(|(job, _)| job == ix) {
-                    machine.held_for = None;
-                }
             }
+            self.drop_holds(ix);
         }
         let gone_by = self.gone_by(told_wall_ms, clock);
         for at in 0..self.machines.len() {
@@ -45,6 +43,5 @@
             self.drop_unsent(MachineIx(at as u32), clock);
         }
         self.writer.clean(id);
-        self.stirred = true;
     }
 }
--- a/src/coordination/leader/writer.rs
+++ b/src/coordination/leader/writer.rs
@@ -3,12 +3,13 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use super::{Leader, Life, Run};
+use super::Leader;
+use super::history::{PartId, Told};
 use crate::bookkeeping::bits::Bits;
-use crate::bookkeeping::ids::{Attempt, JobId, MachineIx, Millis, Revision, TaskRef};
+use crate::bookkeeping::ids::{JobId, Millis, Revision};
 use crate::bookkeeping::jobs::End;
 use crate::bookkeeping::mirror::Mirror;
-use crate::bookkeeping::records::{EndRecord, FinishedRecord, Key, LEADER, MachineRecord};
+use crate::bookkeeping::records::{EndRecord, FinishedRecord, Key, LEADER};
 use crate::coordination::Clock;
 use crate::coordination::Output;
 use crate::coordination::ledger::{Answered, Ledger, Purpose};
@@ -19,7 +20,8 @@
 /// What follows once a change is durable.
 #[derive(Debug, Clone)]
 enum Effect {
-    Machine { ix: MachineIx, runs: Vec<(TaskRef, Attempt)>, returning: bool },
+    Told(Told),
+    PartRemoved(PartId),
     Finished { job: JobId, block: u32 },
     Ended(JobId),
     Cleaned(JobId),
@@ -28,9 +30,6 @@
 
 #[derive(Debug, Default)]
 pub struct Writer {
-    urgent: BTreeSet<MachineIx>,
-    stale: BTreeSet<MachineIx>,
-    finished: BTreeSet<(JobId, u32)>,
     ends: BTreeSet<JobId>,
     cleaning: BTreeSet<JobId>,
     /// Bookings, machine types: whole changes that only have to be made.
@@ -40,30 +39,13 @@
     /// After a transaction without an answer: nothing is written before a poll sent
     /// later than this has told what became of it.
     look_first: Option<Millis>,
-    tidied: Millis,
 }
 
-/// Records that only list tasks that are gone are rewritten that seldom.
-const TIDY_MS: u64 = 4000;
 /// A batch that is this large takes no more: with one more value of up to 16 KiB it still
 /// fits the 64 KiB of a transaction.
 const LARGEST_TXN: usize = 40 * 1024;
 
 impl Writer {
-    /// Tasks of this machine wait for its record.
-    pub fn urgent(&mut self, ix: MachineIx) {
-        self.urgent.insert(ix);
-    }
-
-    /// Its record lists something that is gone.
-    pub fn stale(&mut self, ix: MachineIx) {
-        self.stale.insert(ix);
-    }
-
-    pub fn finished(&mut self, task: TaskRef) {
-        self.finished.insert((task.job, Bits::block_of(task.task)));
-    }
-
     pub fn end(&mut self, id: JobId) {
         self.ends.insert(id);
     }
@@ -72,7 +54,10 @@
         self.cleaning.insert(id);
     }
 
+    /// The last word on a key is the only one: written and removed by one transaction, the
+    /// key's two changes would have one revision, and followers would take the first for true.
     pub fn other(&mut self, key: Key, value: Option<String>) {
+        self.others.retain(|(known, _)| *known != key);
         self.others.push_back((key, value));
     }
 
@@ -129,7 +114,11 @@
             }
             self.writer.look_first = None;
         }
-        let most = self.settings.state_limits.txn_ops.min(ledger.writes.available(clock.now));
+        let spare = ledger.writes.available(clock.now);
+        let most = self.settings.state_limits.txn_ops.min(spare);
+        if most == 0 {
+            return;
+        }
         let leader_key = Guard { key: LEADER.into(), stamp: Revision(self.token.0) };
         let mut batch = Batch {
             mirror,
@@ -139,102 +128,82 @@
             bytes: 0,
             most,
         };
-        self.plan(clock, &mut batch);
+        self.plan(clock, spare, ledger.writes.rate(), &mut batch);
         if batch.changes.is_empty() {
-            // Whatever is listed needed no change.
-            for effect in batch.effects {
-                self.durable(effect);
-            }
             return;
         }
         let (guards, changes, effects) = (batch.guards, batch.changes, batch.effects);
+        let count = changes.len() as u64;
+        self.writer.in_flight = effects;
         if ledger.txn(clock, Purpose::LeaderTxn, guards, changes, out).is_some() {
             self.writer.open = true;
-            self.writer.in_flight = effects;
+            self.counters.changes += count;
+        } else {
+            self.take_back(clock.now);
         }
     }
 
-    fn plan(&mut self, clock: Clock, batch: &mut Batch<'_>) {
-        for id in self.writer.ends.clone() {
+    /// The transaction was not carried out: what it told is told again.
+    fn take_back(&mut self, now: Millis) {
+        for effect in std::mem::take(&mut self.writer.in_flight) {
+            if let Effect::Told(told) = effect {
+                self.history.untold(told, now);
+            }
+        }
+    }
+
+    fn plan(&mut self, clock: Clock, spare: usize, per_second: f64, batch: &mut Batch<'_>) {
+        let ended: Vec<JobId> =
+            self.writer.ends.iter().copied().filter(|id| batch.mirror.end_of(*id).is_some()).collect();
+        for id in ended {
+            self.writer.ends.remove(&id);
+        }
+        for id in &self.writer.ends {
             if batch.full() {
                 return;
             }
-            if batch.mirror.end_of(id).is_some() {
-                self.writer.ends.remove(&id);
-                continue;
-            }
             let record = EndRecord::new(End::Done, clock.wall_ms);
-            batch.add(&Key::End(id), json(&record), Effect::Ended(id));
+            batch.add(&Key::End(*id), json(&record), Effect::Ended(*id));
         }
-        for ix in self.writer.urgent.clone() {
+        for (key, value) in &self.writer.others {
             if batch.full() {
                 return;
             }
-            self.plan_machine(ix, batch);
+            batch.add(key, value.clone(), Effect::Other);
         }
-        for (key, value) in self.writer.others.clone() {
+        self.plan_log(clock, spare, per_second, batch);
+        for (part, key) in self.history.spent() {
             if batch.full() {
                 return;
             }
-            batch.add(&key, value, Effect::Other);
+            batch.add(&key, None, Effect::PartRemoved(part));
         }
-        for (job, block) in self.writer.finished.clone() {
+        for (job, block) in self.history.blocks_due() {
             if batch.full() {
                 return;
             }
             self.plan_finished(job, block, batch);
         }
         self.plan_cleaning(batch);
-        if clock.now.since(self.writer.tidied) >= TIDY_MS && batch.changes.len() < batch.most / 2 {
-            self.writer.tidied = clock.now;
-            for ix in self.writer.stale.clone() {
-                if batch.full() {
-                    return;
-                }
-                if !self.writer.urgent.contains(&ix) {
-                    self.plan_machine(ix, batch);
-                }
-            }
-        }
     }
 
-    fn plan_machine(&self, ix: MachineIx, batch: &mut Batch<'_>) {
-        let machine = &self.machines[ix.at()];
-        let key = Key::Machine(machine.name.clone());
-        let gone = machine.life == Life::Gone;
-        let bare = machine.bindings.is_empty() && !machine.returning;
-        if gone || (bare && !batch.mirror.machines.contains_key(&machine.name)) {
-            let effect = Effect::Machine { ix, runs: Vec::new(), returning: false };
-            if batch.mirror.machines.contains_key(&machine.name) {
-                batch.add(&key, None, effect);
-            } else {
-                // Nothing to remove: a comparison would be a wasted write.
-                batch.effects.push(effect);
-            }
+    /// One part a transaction, so that its name is certainly free.
+    fn plan_log(&mut self, clock: Clock, spare: usize, per_second: f64, batch: &mut Batch<'_>) {
+        if batch.full() {
             return;
         }
-        let names = &batch.mirror.names;
-        let mut record = MachineRecord::new(
-            names.kinds.name_at(machine.kind.at()),
-            names.zones.name_at(machine.zone.at()),
-            machine.spot,
-            &machine.endpoint,
-        );
-        record.returning = machine.returning;
-        for binding in &machine.bindings {
-            record.add(binding.task, binding.attempt);
+        if let Some((key, record, told)) = self.next_part(clock, batch.mirror, spare, per_second) {
+            batch.add(&key, json(&record), Effect::Told(told));
         }
-        let planned = machine.bindings.iter().filter(|binding| binding.run == Run::Planned);
-        let runs = planned.map(|binding| (binding.task, binding.attempt)).collect();
-        let effect = Effect::Machine { ix, runs, returning: machine.returning };
-        batch.add(&key, json(&record), effect);
     }
 
-    fn plan_finished(&self, id: JobId, block: u32, batch: &mut Batch<'_>) {
+    fn plan_finished(&mut self, id: JobId, block: u32, batch: &mut Batch<'_>) {
         let work = batch.mirror.find(id).and_then(|ix| self.work.get(&ix));
         let Some(work) = work.filter(|work| !work.ending) else {
-            // The end of the job says it all.
-            batch.effects.push(Effect::Finished { job: id, block });
+            // The end of the job says it all, once it is durable.
+            if batch.mirror.end_of(id).is_some() || batch.mirror.find(id).is_none() {
+                self.history.told_elsewhere(id, None);
+            }
             return;
         };
         let record = FinishedRecord { tasks: work.done.block_hex(block) };
@@ -244,8 +213,7 @@
     /// The records of ended jobs go once no task of theirs is anywhere.
     fn plan_cleaning(&mut self, batch: &mut Batch<'_>) {
         for id in self.writer.cleaning.clone() {
-            let there = |machine: &super::Machine| machine.bindings.iter().any(|b| b.task.job == id);
-            if batch.mirror.end_of(id).is_none() || self.machines.iter().any(there) {
+            if batch.mirror.end_of(id).is_none() || self.bound.contains_key(&id) {
                 continue;
             }
             let blocks = batch.mirror.find_job(id).map_or(0, |job| Bits::block_of(job.info.tasks - 1) + 1);
@@ -272,27 +240,30 @@
     /// What came of the transaction. False: this node does not lead any more.
     pub fn written(&mut self, clock: Clock, answered: Answered, mirror: &mut Mirror) -> bool {
         self.writer.open = false;
-        let effects = std::mem::take(&mut self.writer.in_flight);
         match answered.reply {
             StateReply::Applied { revision } => {
                 apply_changes(&answered.request, revision, mirror);
-                for effect in effects {
-                    self.durable(effect);
+                for effect in std::mem::take(&mut self.writer.in_flight) {
+                    self.durable(effect, mirror);
                 }
                 self.forget_others(&answered.request);
-                self.stirred = true;
                 true
             }
             StateReply::Conflict { failed } => {
                 // A late transaction of ours, or another's: look before writing again.
+                self.take_back(clock.now);
                 self.writer.look_first = Some(clock.now);
                 !failed.iter().any(|key| key == LEADER)
             }
             StateReply::Unknown => {
+                self.take_back(clock.now);
                 self.writer.look_first = Some(clock.now);
                 true
             }
-            _ => true,
+            _ => {
+                self.take_back(clock.now);
+                true
+            }
         }
     }
 
@@ -311,14 +282,14 @@
         }
     }
 
-    fn durable(&mut self, effect: Effect) {
+    fn durable(&mut self, effect: Effect, mirror: &Mirror) {
         match effect {
-            Effect::Machine { ix, runs, returning } => self.recorded(ix, &runs, returning),
-            Effect::Finished { job, block } => {
-                self.writer.finished.remove(&(job, block));
-            }
+            Effect::Told(told) => self.told(told, mirror),
+            Effect::PartRemoved(part) => self.history.removed(part),
+            Effect::Finished { job, block } => self.history.told_elsewhere(job, Some(block)),
             Effect::Ended(id) => {
                 self.writer.ends.remove(&id);
+                self.history.told_elsewhere(id, None);
                 self.writer.clean(id);
                 log::info!("done {id}");
             }
@@ -328,24 +299,4 @@
             Effect::Other => {}
         }
     }
-
-    fn recorded(&mut self, ix: MachineIx, runs: &[(TaskRef, Attempt)], returning: bool) {
-        self.writer.urgent.remove(&ix);
-        self.writer.stale.remove(&ix);
-        let machine = &mut self.machines[ix.at()];
-        machine.return_recorded |= returning;
-        let unmarked = machine.returning && !returning;
-        for binding in &mut machine.bindings {
-            if binding.run == Run::Planned && runs.contains(&(binding.task, binding.attempt)) {
-                binding.run = Run::Recorded;
-            }
-        }
-        // Bound, or marked, while the transaction was on its way.
-        if unmarked || machine.bindings.iter().any(|binding| binding.run == Run::Planned) {
-            self.writer.urgent.insert(ix);
-        }
-        if !runs.is_empty() {
-            self.to_tell.insert(ix);
-        }
-    }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -33,6 +33,9 @@
 /// A new leader first lets its workers find it.
 const SETTLE_MS: u64 = 8_000;
 const FAVOURED_MS: u64 = 3_000;
+/// What only time changes (silent machines, forgotten thieves) is looked at that often, so
+/// that events cost the same however many machines there are.
+const LOOK_AROUND_MS: u64 = 250;
 const DIRECT_ASK: u64 = 1 << 63;
 const CATALOG_ASK: AskId = AskId((1 << 63) - 1);
 
@@ -55,6 +58,8 @@
     now: Millis,
     /// Since when only this node has trouble with the state service.
     alone_since: Option<Millis>,
+    /// When the leader next looks at all its machines.
+    look_around_next: Millis,
 }
 
 impl Node {
@@ -78,6 +83,7 @@
             others,
             now: clock.now,
             alone_since: None,
+            look_around_next: Millis::default(),
         }
     }
 
@@ -128,7 +134,9 @@
         // At both ends of an outage for all, nodes notice at different moments.
         let alone = !self.ledger.reachable(clock.now) && self.peers.any_state_ok(clock.now);
         self.alone_since = self.alone_since.or(Some(clock.now)).filter(|_| alone);
-        self.consider_resigning(clock, out);
+        if clock.now >= self.look_around_next {
+            self.consider_resigning(clock, out);
+        }
         self.lead(clock, out);
     }
 
@@ -145,11 +153,18 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
-        leader.expire(clock);
+        let look_around = clock.now >= self.look_around_next;
+        if look_around {
+            self.look_around_next = clock.now.plus(LOOK_AROUND_MS);
+            leader.expire(clock);
+        }
         if !may_run {
             return;
         }
-        leader.suspect(clock);
+        if look_around {
+            leader.suspect(clock);
+            leader.sweep();
+        }
         leader.place(clock);
         leader.run_fleet(clock, &self.mirror, out);
         leader.write(clock, &self.mirror, &mut self.ledger, out);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -53,9 +53,21 @@
     zone_cuts: HashSet<(String, String)>,
     lost_direct: bool,
     held_direct: Vec<(usize, Vec<u8>)>,
+    /// What becomes of transactions while their answers are lost.
+    txns: Txns,
+    held_txns: Vec<Vec<u8>>,
     counters: BTreeMap<&'static str, u64>,
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Txns {
+    Fine,
+    /// Carried out, but the answer is lost.
+    Lost,
+    /// Carried out only when they are delivered.
+    Late,
+}
+
 enum Call {
     User { id: String, expect: Option<u16>, raw: bool },
     Report { worker: usize, sent: u64, session: u64 },
@@ -104,6 +116,8 @@
             zone_cuts: HashSet::new(),
             lost_direct: false,
             held_direct: Vec::new(),
+            txns: Txns::Fine,
+            held_txns: Vec::new(),
             counters: BTreeMap::new(),
         }
     }
@@ -154,8 +168,17 @@
                     Outcome::Response { status: 503, body: Vec::new() }
                 } else {
                     let call = request.to_call();
+                    let mode = if call.path == "/txn" { self.txns } else { Txns::Fine };
+                    if mode == Txns::Late {
+                        self.held_txns.push(call.body.clone());
+                        self.tell(at, Input::State { ask, outcome: Outcome::Unknown });
+                        return;
+                    }
                     let (status, body) = self.state.call(call.method, &call.path, &call.body, self.now);
-                    Outcome::Response { status, body: body.to_string().into_bytes() }
+                    match mode {
+                        Txns::Lost => Outcome::Unknown,
+                        _ => Outcome::Response { status, body: body.to_string().into_bytes() },
+                    }
                 };
                 self.tell(at, Input::State { ask, outcome });
             }
@@ -321,6 +344,9 @@
                     ("spilled", c.spilled),
                     ("preempted", c.preempted),
                     ("lost", c.lost_machines),
+                    ("bound", c.bound),
+                    ("looked", c.looked_at),
+                    ("changes", c.changes),
                 ]
             })
             .collect();
@@ -435,6 +461,13 @@
     }
 
     fn submit(&mut self, words: &[&str]) {
+        let (id, spec, expect) = self.describe(words);
+        let request = read_submission(spec.to_string().as_bytes()).expect("a submission");
+        self.ask(request, &id, expect, false);
+    }
+
+    /// The job's description; workers and the rules know it from now on.
+    fn describe(&mut self, words: &[&str]) -> (String, Value, Option<u16>) {
         let id = format!("job-{:06}", words[0].parse::<u64>().expect("a job number"));
         let flag = |name: &str| words.contains(&name);
         let shape = if flag("gang") {
@@ -473,8 +506,7 @@
             self.jobs.insert(id.clone(), facts);
             self.specs.insert(id.clone(), spec.clone());
         }
-        let request = read_submission(spec.to_string().as_bytes()).expect("a submission");
-        self.ask(request, &id, expect, false);
+        (id, spec, expect)
     }
 
     fn poll(&mut self, id: &str) {
@@ -583,6 +615,21 @@
             ["machine", kind, zone, rest @ ..] => {
                 self.cloud.add(kind, zone, rest.contains(&"spot"), self.now, 0);
             }
+            ["machines", kind, zone, count] => {
+                for _ in 0..count.parse::<usize>().expect("a number") {
+                    self.cloud.add(kind, zone, false, self.now, 0);
+                }
+            }
+            // As an earlier version would have left it.
+            ["record", key, text @ ..] => {
+                let value: Value = serde_json::from_str(&text.join(" ")).expect("JSON");
+                self.state.put(key, value);
+            }
+            // Accepted by an earlier version.
+            ["known", rest @ ..] => {
+                let (id, ..) = self.describe(rest);
+                self.accepted.insert(id);
+            }
             ["submit", rest @ ..] => self.submit(rest),
             ["raw", code, text @ ..] => match read_submission(text.join(" ").as_bytes()) {
                 Err(answer) if answer.status.to_string() == *code => {}
@@ -687,7 +734,17 @@
             ["take", host] => self.cloud.machines.retain(|machine| machine.name != *host),
             ["direct", "lost"] => self.lost_direct = true,
             ["direct", "fine"] => self.lost_direct = false,
+            ["txns", mode] => {
+                self.txns = match *mode {
+                    "lost" => Txns::Lost,
+                    "late" => Txns::Late,
+                    _ => Txns::Fine,
+                }
+            }
             ["deliver"] => {
+                for body in std::mem::take(&mut self.held_txns) {
+                    self.state.call("POST", "/txn", &body, self.now);
+                }
                 for (worker, body) in std::mem::take(&mut self.held_direct) {
                     self.workers[worker].direct(&body, self.now, &self.jobs);
                 }
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -44,6 +44,13 @@
         }
     }
 
+    pub fn put(&mut self, key: &str, value: Value) {
+        self.revision += 1;
+        let event = json!({"write": key, "value": value.clone(), "stamp": self.revision});
+        self.events.push((self.revision, event));
+        self.keys.insert(key.into(), (value, self.revision, None));
+    }
+
     /// After an outage every lease has its full time again.
     pub fn refresh_leases(&mut self, now: u64) {
         for (until, life) in self.leases.values_mut() {
