Tell parts of the log again only when little of them counts; a status line at debug

Cause: at karoo 2,600 running tasks need 58 parts of 4 KiB, more than the 48 after which the oldest were emptied: live entries were written over and over, the changes were used up, and a start waited 17 s for its record. Found from the new status line (all CPUs bound, a third not running). Now parts are emptied when at most a quarter of them counts.

--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -302,7 +302,8 @@
             };
             self.machines[ix.at()].life = Life::Gone;
             self.fleet.to_release.remove(&ix);
-            self.history.gone(ix);
+            let part = self.machines[ix.at()].return_part.take();
+            self.history.gone(ix, part);
             self.refresh(ix);
             self.clear_machine(ix, clock);
             self.spread_queues(ix);
--- a/src/coordination/leader/history.rs
+++ b/src/coordination/leader/history.rs
@@ -32,6 +32,8 @@
     returns: BTreeSet<MachineIx>,
     /// Blocks of finished tasks that no other record tells of.
     finished: BTreeSet<(JobId, u32)>,
+    /// Starts and returns it told of at first.
+    told: usize,
     /// What counts is being written again, to a newer part.
     moving: bool,
 }
@@ -43,12 +45,17 @@
             starts: HashSet::new(),
             returns: BTreeSet::new(),
             finished: BTreeSet::new(),
+            told: 0,
             moving: false,
         }
     }
 
+    fn on_machines(&self) -> usize {
+        self.starts.len() + self.returns.len()
+    }
+
     fn counts(&self) -> bool {
-        !(self.starts.is_empty() && self.returns.is_empty() && self.finished.is_empty())
+        self.on_machines() > 0 || !self.finished.is_empty()
     }
 }
 
@@ -64,6 +71,10 @@
 #[derive(Debug, Default)]
 pub struct History {
     parts: BTreeMap<PartId, Part>,
+    /// Parts in which nothing counts.
+    spent: BTreeSet<PartId>,
+    /// Blocks that have to be told by a record of their own, so that old parts can go.
+    blocks_due: BTreeSet<(JobId, u32)>,
     next_part: u64,
     next_name: u64,
     /// To be told with the next part, by machine.
@@ -74,8 +85,14 @@
     written: Millis,
 }
 
-/// With more parts than that, the oldest is emptied: what counts in it is written again.
-const MOST_PARTS: usize = 48;
+/// With more parts than that, those of which little counts are emptied: it is written again.
+/// A fixed number alone would be wrong: with more running than so many parts can tell, all
+/// that counts was written again and again, and starts waited 17 s for it.
+const MANY_PARTS: usize = 64;
+/// Little is this part of what a part told at first.
+const LITTLE: usize = 4;
+/// With so many parts in which only finished tasks count, their blocks get records of their own.
+const MANY_FINISHED: usize = 32;
 /// Finished tasks wait so long for a part that is written anyway.
 const FINISHED_MS: u64 = 1_000;
 /// The part of the leader's changes that may be new parts of the log: removing a part
@@ -99,44 +116,55 @@
     /// Certainly not there any more.
     pub fn left(&mut self, part: Option<PartId>, start: Start) {
         self.starts.remove(&start);
-        if let Some(part) = part.and_then(|part| self.parts.get_mut(&part)) {
+        self.change(part, |part| {
             part.starts.remove(&start);
-        }
+        });
     }
 
     /// The machine is gone: that it goes back is of no interest any more.
-    pub fn gone(&mut self, machine: MachineIx) {
+    pub fn gone(&mut self, machine: MachineIx, part: Option<PartId>) {
         self.returns.remove(&machine);
-        for part in self.parts.values_mut() {
+        self.change(part, |part| {
             part.returns.remove(&machine);
+        });
+    }
+
+    fn change(&mut self, id: Option<PartId>, change: impl FnOnce(&mut Part)) {
+        if let Some((id, part)) = id.and_then(|id| Some((id, self.parts.get_mut(&id)?))) {
+            change(part);
+            if !part.counts() {
+                self.spent.insert(id);
+            }
         }
     }
 
     /// The job's end, or the whole of a block, is told by a record of its own.
     pub fn told_elsewhere(&mut self, job: JobId, block: Option<u32>) {
         let over = |of: JobId, at: u32| of == job && block.is_none_or(|block| block == at);
-        for part in self.parts.values_mut() {
+        for (id, part) in &mut self.parts {
             part.finished.retain(|(of, at)| !over(*of, *at));
+            if !part.counts() {
+                self.spent.insert(*id);
+            }
         }
+        self.blocks_due.retain(|(of, at)| !over(*of, *at));
         if block.is_none() {
             self.finished.retain(|task| task.job != job);
         }
     }
 
-    /// Blocks that have to be told by a record of their own, so that old parts can go.
     pub fn blocks_due(&self) -> Vec<(JobId, u32)> {
-        let surplus = self.parts.len().saturating_sub(MOST_PARTS);
-        let old = self.parts.values().take(surplus);
-        old.flat_map(|part| part.finished.iter().copied()).collect::<BTreeSet<_>>().into_iter().collect()
+        self.blocks_due.iter().copied().collect()
     }
 
     /// Parts in which nothing counts.
-    pub fn spent(&self) -> Vec<(PartId, Key)> {
-        let spent = self.parts.iter().filter(|(_, part)| !part.counts());
-        spent.map(|(id, part)| (*id, part.key.clone())).collect()
+    pub fn spent(&self, most: usize) -> Vec<(PartId, Key)> {
+        let key = |id: &PartId| Some((*id, self.parts.get(id)?.key.clone()));
+        self.spent.iter().filter_map(key).take(most).collect()
     }
 
     pub fn removed(&mut self, part: PartId) {
+        self.spent.remove(&part);
         self.parts.remove(&part);
     }
 
@@ -151,37 +179,52 @@
         id
     }
 
-    /// A part of an earlier leader's, oldest first.
+    /// A part of an earlier leader's, oldest first. Once all it tells is taken in, `checked`.
     pub fn inherit(&mut self, key: Key) -> PartId {
         self.add_part(key)
     }
 
-    pub fn inherit_start(&mut self, part: PartId, start: Start) {
+    pub fn add_start(&mut self, part: PartId, start: Start) {
         if let Some(part) = self.parts.get_mut(&part) {
+            part.told += 1;
             part.starts.insert(start);
         }
     }
 
-    pub fn inherit_return(&mut self, part: PartId, machine: MachineIx) {
+    pub fn add_return(&mut self, part: PartId, machine: MachineIx) {
         if let Some(part) = self.parts.get_mut(&part) {
+            part.told += 1;
             part.returns.insert(machine);
         }
     }
 
-    pub fn inherit_finished(&mut self, part: PartId, job: JobId, block: u32) {
+    pub fn add_finished(&mut self, part: PartId, job: JobId, block: u32) {
         if let Some(part) = self.parts.get_mut(&part) {
             part.finished.insert((job, block));
         }
     }
 
-    /// Writes again what counts in the oldest parts, so that their number stays bounded.
-    fn move_oldest(&mut self) {
-        let surplus = self.parts.len().saturating_sub(MOST_PARTS);
-        for part in self.parts.values_mut().take(surplus).filter(|part| !part.moving) {
+    /// Nothing is added to the part any more.
+    pub fn checked(&mut self, part: PartId) {
+        self.change(Some(part), |_| {});
+    }
+
+    /// Keeps the log short: parts of which little counts are told again, finished tasks
+    /// that keep many parts get records of their own.
+    fn tidy(&mut self) {
+        let surplus = self.parts.len().saturating_sub(MANY_PARTS);
+        let little = |part: &&mut Part| {
+            !part.moving && part.on_machines() > 0 && part.on_machines() * LITTLE <= part.told
+        };
+        for part in self.parts.values_mut().take(surplus).filter(little) {
             part.moving = true;
             self.starts.extend(part.starts.iter().copied());
             self.returns.extend(part.returns.iter().copied());
         }
+        let mut held_up = self.parts.values().filter(|part| part.on_machines() == 0 && part.counts());
+        if self.blocks_due.is_empty() && held_up.clone().count() > MANY_FINISHED {
+            self.blocks_due.extend(held_up.next().into_iter().flat_map(|part| part.finished.iter().copied()));
+        }
     }
 
     /// Is it time for another part? With changes to spare at once, else in measured steps,
@@ -203,7 +246,8 @@
             if !mirror.log.contains_key(&name) {
                 return name;
             }
-            self.add_part(Key::Log(name));
+            let part = self.add_part(Key::Log(name));
+            self.checked(part);
             self.next_name += 1;
         }
     }
@@ -228,7 +272,6 @@
         spare: usize,
         per_second: f64,
     ) -> Option<(Key, LogRecord, Told)> {
-        self.history.move_oldest();
         if !self.history.due(clock.now, spare, per_second) {
             return None;
         }
@@ -317,7 +360,7 @@
                 self.to_tell.insert(start.machine);
             }
             self.history.left(before, start);
-            self.history.inherit_start(id, start);
+            self.history.add_start(id, start);
         }
         for ix in told.returns {
             let machine = &mut self.machines[ix.at()];
@@ -325,14 +368,17 @@
                 continue;
             }
             machine.return_recorded = true;
+            let before = machine.return_part.replace(id);
             self.fleet.to_release.insert(ix);
-            self.history.gone(ix);
-            self.history.inherit_return(id, ix);
+            self.history.gone(ix, before);
+            self.history.add_return(id, ix);
         }
         for task in told.finished {
             if mirror.end_of(task.job).is_none() && mirror.find(task.job).is_some() {
-                self.history.inherit_finished(id, task.job, Bits::block_of(task.task));
+                self.history.add_finished(id, task.job, Bits::block_of(task.task));
             }
         }
+        self.history.checked(id);
+        self.history.tidy();
     }
 }
--- a/src/coordination/leader/inherit.rs
+++ b/src/coordination/leader/inherit.rs
@@ -31,12 +31,13 @@
             let part = self.history.inherit(key);
             for (job, block) in blocks {
                 if mirror.end_of(job).is_none() && mirror.find(job).is_some() {
-                    self.history.inherit_finished(part, job, block);
+                    self.history.add_finished(part, job, block);
                 }
             }
             for recorded in machines {
                 self.inherit_machine(part, &recorded, mirror, clock);
             }
+            self.history.checked(part);
         }
     }
 
@@ -60,7 +61,8 @@
         if recorded.returning {
             machine.returning = true;
             machine.return_recorded = true;
-            self.history.inherit_return(part, ix);
+            machine.return_part = Some(part);
+            self.history.add_return(part, ix);
             self.fleet.to_release.insert(ix);
         }
         for (task, attempt) in tasks {
@@ -85,7 +87,7 @@
             // Told again by a later part.
             let before = binding.part.replace(part);
             self.history.left(before, start);
-            self.history.inherit_start(part, start);
+            self.history.add_start(part, start);
             return;
         }
         let job = mirror.find(task.job);
@@ -108,7 +110,7 @@
             gone_by: withdrawn,
         };
         self.attach(ix, binding);
-        self.history.inherit_start(part, start);
+        self.history.add_start(part, start);
     }
 
     pub(super) fn inherit_jobs(&mut self, mirror: &Mirror, clock: Clock) {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -12,6 +12,7 @@
 pub mod reports;
 pub mod roster;
 pub mod silence;
+pub mod status;
 pub mod withdraw;
 pub mod writer;
 
@@ -110,6 +111,8 @@
     pub notice_until: Option<Millis>,
     pub returning: bool,
     pub return_recorded: bool,
+    /// The part of the log that tells that it goes back.
+    pub return_part: Option<PartId>,
     pub bindings: Vec<Binding>,
     pub used: Amount,
     pub size: Amount,
@@ -250,6 +253,7 @@
     pub roster: Roster,
     /// Machines that should have an image.
     holders: HashMap<ImageIx, BTreeSet<MachineIx>>,
+    status_next: Millis,
     /// Waiting gangs are not tried before.
     gangs_next: Millis,
     /// Machines that should hear from us without waiting for their report.
@@ -301,6 +305,7 @@
             bound: HashMap::new(),
             roster: Roster::default(),
             holders: HashMap::new(),
+            status_next: Millis::default(),
             gangs_next: Millis::default(),
             to_tell: BTreeSet::new(),
         };
@@ -442,6 +447,7 @@
             notice_until: None,
             returning: false,
             return_recorded: false,
+            return_part: None,
             bindings: Vec::new(),
             used: Amount::default(),
             size: self.kinds.get(&kind).map(|kind| kind.size).unwrap_or_default(),
--- a/src/coordination/leader/writer.rs
+++ b/src/coordination/leader/writer.rs
@@ -172,7 +172,7 @@
             batch.add(key, value.clone(), Effect::Other);
         }
         self.plan_log(clock, spare, per_second, batch);
-        for (part, key) in self.history.spent() {
+        for (part, key) in self.history.spent(batch.most) {
             if batch.full() {
                 return;
             }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -164,6 +164,7 @@
         if look_around {
             leader.suspect(clock);
             leader.sweep();
+            leader.status(clock.now);
         }
         leader.place(clock);
         leader.run_fleet(clock, &self.mirror, out);
