--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -12,7 +12,7 @@
 type Slots = (u64, Vec<MachineIx>);
 
 /// A team waits so long for room before it claims back what it has lent.
-const CLAIM_MS: u64 = 30_000;
+const CLAIM_MS: u64 = 2_000;
 /// Until a halt has reached a worker and its effect is known.
 const HALT_MS: u64 = 500;
 /// Added to the grace of a halt, so that a save has time to end.
