Drain machines for gangs that may stop nobody

Cause: gangs of a team above its guarantee waited 200 to 300 s: room that tasks left was refilled by arrays of the same urgency before it was enough for 30 CPUs. At debug the leader describes each job that comes.

--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -398,9 +398,9 @@
                 continue;
             }
             let dear = (cheapest / self.price_per_cpu(ix)).clamp(0.0, 1.0);
-            let idle_ms = (self.tunables.idle_s * 1000.0 * dear) as u64;
             let age = clock.now.since(machine.since);
             let boot = self.kinds.get(&machine.kind).map_or(60_000, |kind| kind.boot_ms);
+            let idle_ms = (self.tunables.idle_s * 1000.0 * dear) as u64;
             let idle = clock.now.since(machine.idle_since);
             let why = match machine.life {
                 Life::Booting if age > boot * BOOT_PATIENCE + 10_000 => "never came up",
--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -1,6 +1,6 @@
 //! Gangs and services: placed first, all or nothing; room is made by urgency.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::queues::Rank;
 use super::{Binding, Leader, Run, Work};
@@ -9,7 +9,25 @@
 use crate::protocol::users::Shape;
 
 /// Machines for all tasks, and what the dearest of them costs in milliseconds.
-type Slots = (u64, Vec<MachineIx>);
+type Slots = (u64, Vec<(MachineIx, Way)>);
+
+/// How a machine gets room for a gang.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Way {
+    Free,
+    /// Less urgent or borrowing tasks are stopped.
+    Halt,
+    /// Its tasks run to their ends, and no other starts.
+    Drain,
+}
+
+/// A machine that takes no queued tasks, because a gang waits for its room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    pub job: JobIx,
+    pub until: Millis,
+    pub way: Way,
+}
 
 /// A team waits so long for room before it claims back what it has lent.
 const CLAIM_MS: u64 = 2_000;
@@ -38,8 +56,11 @@
                 continue;
             }
             // Room that is free may be dearer than room to be made: an image has to be fetched.
-            let free = self.slots(rank.job, tasks.len(), false, clock);
-            let made = self.slots(rank.job, tasks.len(), true, clock);
+            let free = self.slots(rank.job, tasks.len(), Way::Free, clock);
+            // Waiting for others' ends is for those that may stop nobody.
+            let made = self
+                .slots(rank.job, tasks.len(), Way::Halt, clock)
+                .or_else(|| self.slots(rank.job, tasks.len(), Way::Drain, clock).filter(|_| free.is_none()));
             match (free, made) {
                 (Some((now, machines)), made) if made.as_ref().is_none_or(|(later, _)| now <= *later) => {
                     self.start_gang(rank, &tasks, &machines);
@@ -50,18 +71,17 @@
         }
     }
 
-    fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[MachineIx]) {
+    fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[(MachineIx, Way)]) {
         let attempt = self.next_attempt();
-        for (task, ix) in tasks.iter().zip(machines) {
+        for (task, (ix, _)) in tasks.iter().zip(machines) {
             self.bind(*ix, rank.job, *task, attempt);
         }
         self.drop_holds(rank.job);
         self.gangs.remove(&rank);
     }
 
-    /// A machine for each of `count` tasks, or None. With `after_halts`, room that
-    /// would come from stopping less urgent work counts too.
-    fn slots(&self, job: JobIx, count: usize, after_halts: bool, clock: Clock) -> Option<Slots> {
+    /// A machine for each of `count` tasks, or None; room that can be made this way counts too.
+    fn slots(&self, job: JobIx, count: usize, way: Way, clock: Clock) -> Option<Slots> {
         let work = self.work.get(&job)?;
         let zones: Vec<Option<ZoneIx>> = if work.info.one_zone {
             let mut zones: Vec<ZoneIx> = self.kinds.values().flat_map(|kind| kind.zones.clone()).collect();
@@ -71,7 +91,7 @@
         } else {
             vec![None]
         };
-        let here = |zone| self.slots_in(job, work, count, zone, after_halts.then_some(clock));
+        let here = |zone| self.slots_in(job, work, count, zone, way, clock);
         zones.into_iter().filter_map(here).min_by_key(|(cost, _)| *cost)
     }
 
@@ -81,20 +101,25 @@
         work: &Work,
         count: usize,
         zone: Option<ZoneIx>,
-        after_halts: Option<Clock>,
+        way: Way,
+        clock: Clock,
     ) -> Option<Slots> {
         let mut candidates: Vec<(u64, u64, MachineIx)> = Vec::new();
         for ix in self.roster.open() {
             let ix = *ix;
             let machine = &self.machines[ix.at()];
-            let held = machine.held_for.is_some_and(|(holder, _)| holder != job);
+            // Whoever may stop tasks need not wait for a machine that is only being drained.
+            let held = machine
+                .held_for
+                .is_some_and(|hold| hold.job != job && !(way == Way::Halt && hold.way == Way::Drain));
             let here = zone.is_none_or(|zone| zone == machine.zone);
             if held || !here || !self.suits(ix, work) || !self.zone_allows(ix, work) {
                 continue;
             }
-            let (room, cost) = match after_halts {
-                Some(clock) => self.room_after_halts(ix, work, clock),
-                None => (machine.free(), 0),
+            let (room, cost) = match way {
+                Way::Free => (machine.free(), 0),
+                Way::Halt => self.room_after_halts(ix, work, clock),
+                Way::Drain => self.room_after_ends(ix, work, clock),
             };
             let slots = work.info.need.count_in(&room).min(self.most_tasks as u64);
             if slots > 0 {
@@ -113,7 +138,7 @@
             if take > 0 {
                 delay = delay.max(cost);
             }
-            chosen.extend(std::iter::repeat_n(ix, take as usize));
+            chosen.extend(std::iter::repeat_n((ix, way), take as usize));
         }
         (chosen.len() == count).then_some((delay, chosen))
     }
@@ -127,6 +152,26 @@
         (work.info.image_mb as f64 / rate.max(1.0) * 1000.0) as u64
     }
 
+    /// Room for one task once enough of the machine's tasks have run to their ends, and how
+    /// long that takes; none if it is longer than a machine may be held.
+    fn room_after_ends(&self, ix: MachineIx, work: &Work, clock: Clock) -> (Amount, u64) {
+        let machine = &self.machines[ix.at()];
+        let mut room = machine.free();
+        let left = |binding: &Binding| self.left_cpu_ms(binding, clock) * 1000 / binding.need.cpu.max(1);
+        let mut ends: Vec<(u64, Amount)> = machine.bindings.iter().map(|b| (left(b), b.need)).collect();
+        ends.sort_by_key(|(ms, _)| *ms);
+        let mut wait = 0;
+        for (ms, need) in ends {
+            if work.info.need.fits(&room) {
+                break;
+            }
+            room.add(&need);
+            wait = ms;
+        }
+        let held_ms = (self.tunables.hold_s * 1000.0) as u64;
+        if wait <= held_ms { (room, wait) } else { (Amount::default(), wait) }
+    }
+
     /// Room on a machine once less urgent tasks have stopped, and what that costs in
     /// milliseconds: the wait for them to save, and the work that is lost.
     fn room_after_halts(&self, ix: MachineIx, work: &Work, clock: Clock) -> (Amount, u64) {
@@ -177,8 +222,12 @@
     }
 
     /// Holds machines for a gang and stops less urgent tasks on them.
-    fn make_room(&mut self, rank: Rank, machines: &[MachineIx], clock: Clock) {
-        let ours = |ix: &MachineIx| self.machines[ix.at()].held_for.is_some_and(|(job, _)| job == rank.job);
+    fn make_room(&mut self, rank: Rank, machines: &[(MachineIx, Way)], clock: Clock) {
+        // Held already; but stopping tasks after all is better than waiting for their ends.
+        let best = machines.iter().map(|(_, way)| *way).max().unwrap_or(Way::Free);
+        let ours = |ix: &MachineIx| {
+            self.machines[ix.at()].held_for.is_some_and(|hold| hold.job == rank.job && hold.way <= best)
+        };
         if self.held.iter().any(ours) {
             return;
         }
@@ -187,16 +236,16 @@
         };
         let need = work.info.need;
         let until = clock.now.plus((self.tunables.hold_s * 1000.0) as u64);
-        let mut wanted: HashMap<MachineIx, u64> = HashMap::new();
-        for ix in machines.iter().copied() {
-            *wanted.entry(ix).or_default() += 1;
+        let mut wanted: BTreeMap<(MachineIx, Way), u64> = BTreeMap::new();
+        for chosen in machines.iter().copied() {
+            *wanted.entry(chosen).or_default() += 1;
         }
-        let mut wanted: Vec<(MachineIx, u64)> = wanted.into_iter().collect();
-        wanted.sort();
-        for (ix, tasks) in wanted {
-            self.machines[ix.at()].held_for = Some((rank.job, until));
+        for ((ix, way), tasks) in wanted {
+            self.machines[ix.at()].held_for = Some(Hold { job: rank.job, until, way });
             self.held.insert(ix);
-            self.halt_for(ix, &need.times(tasks), rank.job, clock);
+            if way == Way::Halt {
+                self.halt_for(ix, &need.times(tasks), rank.job, clock);
+            }
         }
     }
 
@@ -270,14 +319,14 @@
     }
 
     pub fn release_holds(&mut self, clock: Clock) {
-        self.release_where(|(_, until)| until <= clock.now);
+        self.release_where(|hold| hold.until <= clock.now);
     }
 
     pub fn drop_holds(&mut self, job: JobIx) {
-        self.release_where(|(holder, _)| holder == job);
+        self.release_where(|hold| hold.job == job);
     }
 
-    fn release_where(&mut self, over: impl Fn((JobIx, Millis)) -> bool) {
+    fn release_where(&mut self, over: impl Fn(Hold) -> bool) {
         let held: Vec<MachineIx> = self.held.iter().copied().collect();
         for ix in held {
             let machine = &mut self.machines[ix.at()];
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -120,7 +120,7 @@
     pub dedicated: Queue,
     pub steal_wait_ms: f64,
     pub next_steal: Millis,
-    pub held_for: Option<(JobIx, Millis)>,
+    pub held_for: Option<gangs::Hold>,
     /// Images it should have, most recently used last, with their size.
     pub images: Vec<(ImageIx, u64)>,
     pub direct_open: bool,
@@ -375,6 +375,18 @@
             self.writer.clean(job.info.id);
             return;
         }
+        let info = &job.info;
+        log::debug!(
+            "job {}: {:?} of {} tasks, {} mCPU, {} MB image, {} ms, team {}, class {}",
+            info.id,
+            info.shape,
+            info.tasks,
+            info.need.cpu,
+            info.image_mb,
+            info.guess_ms,
+            info.team.0,
+            info.class.0
+        );
         let due = job.info.due_wall_ms.map(|due| due.saturating_sub(job.info.accepted_wall_ms));
         let aim = self.aims.get(&job.info.class).and_then(|aims| aims.first().copied());
         let aim = due.into_iter().chain(aim).min().unwrap_or(NO_AIM_MS);
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/plan.rs
@@ -113,7 +113,7 @@
     /// Tasks of a gang that a machine has room for, its own hold counted in.
     fn gang_slots(&self, job: JobIx, work: &Work, ix: MachineIx) -> u64 {
         let machine = &self.machines[ix.at()];
-        let held = machine.held_for.is_some_and(|(holder, _)| holder == job);
+        let held = machine.held_for.is_some_and(|hold| hold.job == job);
         let free = if held { machine.size } else { machine.free() };
         if work.failed_on.contains(&ix) { 0 } else { work.info.need.count_in(&free) }
     }
