--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -106,6 +106,8 @@
     pub tick: u64,
     /// It has shown our token: no other leader's command can reach it any more.
     pub confirmed: bool,
+    /// When it first showed our token in an answer to `/orders`, if that came before a report.
+    pub shown: Option<Millis>,
     /// When the last report that was answered came in.
     pub answered: Option<Millis>,
     pub notice_until: Option<Millis>,
@@ -455,6 +457,7 @@
             session: Session(0),
             tick: 0,
             confirmed: false,
+            shown: None,
             answered: None,
             notice_until: None,
             returning: false,
--- a/src/coordination/leader/orders.rs
+++ b/src/coordination/leader/orders.rs
@@ -1,7 +1,7 @@
 //! Commands to workers: in the response to a report, or straight to the worker.
 
 use super::{Leader, Life, Run};
-use crate::bookkeeping::ids::{Attempt, MachineIx, TaskRef};
+use crate::bookkeeping::ids::{Attempt, MachineIx, Session, TaskRef};
 use crate::coordination::Clock;
 use crate::protocol::workers::Order;
 
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 pub struct Direct {
     pub machine: MachineIx,
+    /// The session it is meant for; 0 if that is not known yet.
+    pub session: Session,
     pub runs: Vec<(TaskRef, Attempt)>,
     pub orders: Vec<Order>,
 }
@@ -85,8 +87,9 @@
                     _ => None,
                 })
                 .collect();
-            self.machines[ix.at()].direct_open = true;
-            messages.push(Direct { machine: ix, runs, orders });
+            let machine = &mut self.machines[ix.at()];
+            machine.direct_open = true;
+            messages.push(Direct { machine: ix, session: machine.session, runs, orders });
         }
         messages
     }
@@ -94,7 +97,11 @@
     pub fn direct_outcome(&mut self, direct: &Direct, outcome: DirectOutcome, clock: Clock) {
         let machine = &mut self.machines[direct.machine.at()];
         machine.direct_open = false;
-        if outcome != DirectOutcome::Executed {
+        if outcome == DirectOutcome::Refused && machine.session > direct.session {
+            // A worker takes no notice of a token that comes with another session than its
+            // own, which no record tells: its refusal did.
+            self.to_tell.insert(direct.machine);
+        } else if outcome != DirectOutcome::Executed {
             machine.direct_after = clock.now.plus(DIRECT_PAUSE_MS);
         }
         for binding in &mut machine.bindings {
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -68,10 +68,19 @@
     /// The body of an answer to `/orders`: true as far as it goes, but silent on
     /// commands that are still on their way in a response.
     pub fn observe_direct(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
-        if self.is_newer(ix, report) {
-            self.observe(ix, clock, report);
-            self.refresh(ix);
+        if !self.is_newer(ix, report) {
+            return;
         }
+        self.observe(ix, clock, report);
+        let machine = &mut self.machines[ix.at()];
+        // Its reports may still be on their way to a leader that is cut off, for 16 s after
+        // a takeover: what it showed here entitles us just as well.
+        if report.token == self.token && !machine.confirmed {
+            machine.confirmed = true;
+            machine.shown = Some(clock.now);
+            self.to_tell.insert(ix);
+        }
+        self.refresh(ix);
     }
 
     fn machine_of(&mut self, mirror: &mut Mirror, report: &Report, clock: Clock) -> MachineIx {
@@ -85,6 +94,7 @@
             machine.idle_since = clock.now;
         }
         if matches!(machine.life, Life::Booting | Life::Silent) {
+            machine.shown = None;
             machine.life = Life::Up;
         }
         ix
--- a/src/coordination/leader/silence.rs
+++ b/src/coordination/leader/silence.rs
@@ -55,7 +55,10 @@
         let lease = self.settings.workers.lease_ms;
         let slack = slack_ms(lease);
         match machine.answered {
-            Some(answered) if machine.confirmed => answered.plus(lease + slack),
+            // No other leader's answer to a report sent after it showed our token counts.
+            _ if machine.confirmed && machine.answered.max(machine.shown).is_some() => {
+                machine.answered.max(machine.shown).unwrap_or_default().plus(lease + slack)
+            }
             // An earlier leader, or our own first answers, may have kept it alive.
             Some(answered) => answered.plus(lease + slack).max(self.inherited_until),
             None => self.inherited_until,
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -176,7 +176,7 @@
             out.push(Output::Orders {
                 ask,
                 endpoint: machine.endpoint.clone(),
-                call: orders_call(leader.token, machine.session, &direct.orders),
+                call: orders_call(leader.token, direct.session, &direct.orders),
                 timeout_ms: DIRECT_TIMEOUT_MS,
             });
             self.directs.insert(ask, direct);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -552,6 +552,10 @@
                     self.nodes.iter().filter(leads).any(|slot| *node == "any" || slot.name == *node);
                 (*op == "=") == leads_any
             }
+            ["leaders", op, right] => {
+                let leads = |slot: &&Slot| slot.node.as_ref().is_some_and(|node| node.leader().is_some());
+                compare(self.nodes.iter().filter(leads).count() as u64, op, right)
+            }
             ["ready", node] => {
                 let slot = self.nodes.iter().find(|slot| slot.name == *node).expect("a node");
                 slot.node.as_ref().is_some_and(Node::ready)
