--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -264,6 +264,8 @@
 
 /// A job that nobody waits for comes after those with an aim of a few minutes.
 const NO_AIM_MS: u64 = 600_000;
+/// The size of a job puts it behind jobs that came so much later at most.
+const MOST_SIZE_MS: u64 = 120_000;
 /// Room for attempts within one leadership; the token in front keeps them rising over all.
 const ATTEMPTS_BITS: u32 = 24;
 
@@ -392,9 +394,10 @@
         let due = job.info.due_wall_ms.map(|due| due.saturating_sub(job.info.accepted_wall_ms));
         let aim = self.aims.get(&job.info.class).and_then(|aims| aims.first().copied());
         let aim = due.into_iter().chain(aim).min().unwrap_or(NO_AIM_MS);
+        let size = self.size_ms(&job.info);
         self.work.entry(ix).or_insert_with(|| Work {
             info: job.info.clone(),
-            rank: queues::Rank::new(ix, &job.info, aim),
+            rank: queues::Rank::new(ix, &job.info, aim, size),
             done: job.finished.clone(),
             out: HashMap::new(),
             zones: HashMap::new(),
@@ -405,6 +408,13 @@
         });
     }
 
+    /// How long a quarter of the machines there would be busy with the whole job.
+    fn size_ms(&self, info: &JobInfo) -> u64 {
+        let open = self.roster.open().iter().map(|ix| self.machines[ix.at()].size.cpu).sum::<u64>();
+        let work = info.need.cpu.saturating_mul(u64::from(info.tasks)).saturating_mul(info.guess_ms);
+        (work / (open / 4).max(1)).min(MOST_SIZE_MS)
+    }
+
     /// Queues every task of a job that is neither finished, nor out, nor queued: for new jobs.
     pub fn queue_missing(&mut self, ix: JobIx) {
         let Some(work) = self.work.get(&ix) else {
--- a/src/coordination/leader/queues.rs
+++ b/src/coordination/leader/queues.rs
@@ -23,8 +23,10 @@
 
 impl Rank {
     /// `aim_ms`: within what time of its acceptance the job should be done.
-    pub fn new(job: JobIx, info: &JobInfo, aim_ms: u64) -> Rank {
-        let start_by = (info.accepted_wall_ms + aim_ms).saturating_sub(info.guess_ms);
+    /// `size_ms`: how long the whole job keeps a good part of the fleet busy; with more
+    /// work than machines, many small jobs in time are worth more than one large one.
+    pub fn new(job: JobIx, info: &JobInfo, aim_ms: u64, size_ms: u64) -> Rank {
+        let start_by = (info.accepted_wall_ms + aim_ms + size_ms).saturating_sub(info.guess_ms);
         Rank {
             urgency: info.urgency,
             start_by: start_by / START_GRAIN_MS,
