A machine with room takes the task whose turn is earliest in a sample

Cause: with queues everywhere nobody is idle, nobody steals, and tasks waited for the machine they had joined: the order inside queues hardly mattered (six tries at it were all noise). Jobs are now marked as covered by a guarantee one by one, not by what their team uses at the moment.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -8,8 +8,9 @@
 use super::history::Start;
 use super::queues::Rank;
 use super::{Binding, Leader, Run, Work};
-use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, TaskRef};
+use crate::bookkeeping::ids::{Amount, Attempt, JobIx, MachineIx, TaskRef};
 use crate::coordination::Clock;
+use crate::protocol::users::Urgency;
 
 /// Stealing of one machine within one round of placement.
 const STEALS_A_ROUND: usize = 4;
@@ -20,6 +21,9 @@
 /// Gangs that wait are tried that often: more often nothing has changed for them.
 const GANGS_EVERY_MS: u64 = 150;
 
+/// When a task's turn comes: urgency, not covered by a guarantee, hopeless, rank.
+type Turn = (Urgency, bool, bool, Rank);
+
 impl Leader {
     /// May a task of this job start on this machine, room and quota aside?
     pub fn suits(&self, ix: MachineIx, work: &Work) -> bool {
@@ -212,7 +216,23 @@
         }
     }
 
-    /// Starts the first task of a queue that may start now.
+    /// May a task of this job start now with this much room? None: but for its team's limit.
+    fn may_start(&self, ix: MachineIx, free: &Amount, rank: &Rank) -> Option<bool> {
+        let Some(work) = self.work.get(&rank.job) else { return Some(false) };
+        if !work.info.need.fits(free) || !self.suits(ix, work) || !self.zone_allows(ix, work) {
+            return Some(false);
+        }
+        self.within_quota(work.info.team, &work.info.need).then_some(true)
+    }
+
+    /// Within one urgency: what a guarantee covers, then what borrows; the hopeless last.
+    fn turn(&self, rank: &Rank, clock: Clock) -> Option<Turn> {
+        let work = self.work.get(&rank.job)?;
+        Some((work.info.urgency, !work.guaranteed, self.hopeless(work, clock), *rank))
+    }
+
+    /// Starts the first task of a queue that may start now. Instead of its own shared task
+    /// a machine takes one whose turn is earlier, if it finds one in a sample.
     fn bind_from(&mut self, ix: MachineIx, dedicated: bool, clock: Clock) -> bool {
         let machine = &self.machines[ix.at()];
         if machine.bindings.len() >= self.most_tasks {
@@ -220,32 +240,21 @@
         }
         let queue = if dedicated { &machine.dedicated } else { &machine.shared };
         let free = machine.free();
-        let may = |rank: &Rank| {
-            self.work.get(&rank.job).is_some_and(|work| {
-                work.info.need.fits(&free) && self.suits(ix, work) && self.zone_allows(ix, work)
-            })
-        };
-        let allowed = |rank: &Rank| {
-            let work = self.work.get(&rank.job);
-            work.is_some_and(|work| self.within_quota(work.info.team, &work.info.need))
-        };
-        // Within one urgency: teams within their guarantee, then those that borrow; the
-        // hopeless last of all.
-        let order = |rank: &Rank| {
-            self.work.get(&rank.job).map(|work| {
-                let borrows = !self.within_guarantee(work.info.team, &work.info.need);
-                (work.info.urgency, self.hopeless(work, clock), borrows, *rank)
-            })
-        };
-        let mut able = queue.ranks();
-        able.retain(may);
-        let Some(rank) = able.iter().copied().filter(allowed).min_by_key(order) else {
-            if !able.is_empty() {
+        let mut limited = false;
+        let able = queue.ranks().into_iter().filter(|rank| {
+            let may = self.may_start(ix, &free, rank);
+            limited |= may.is_none();
+            may == Some(true)
+        });
+        let Some(turn) = able.filter_map(|rank| self.turn(&rank, clock)).min() else {
+            if limited {
                 self.roster.limited(ix);
             }
             return false;
         };
-        let machine = &mut self.machines[ix.at()];
+        let earlier = if dedicated { None } else { self.earlier_turn(ix, &free, turn, clock) };
+        let (from, rank) = earlier.unwrap_or((ix, turn.3));
+        let machine = &mut self.machines[from.at()];
         let queue = if dedicated { &mut machine.dedicated } else { &mut machine.shared };
         let Some(task) = queue.pop(rank) else {
             return false;
@@ -255,6 +264,29 @@
         true
     }
 
+    /// A queue of a random sample whose first task comes before `turn` and may start here.
+    /// Thieves of the source are idle; with queues everywhere nobody is, and tasks that are
+    /// due would wait for their own machine however long its tasks run.
+    fn earlier_turn(
+        &mut self,
+        ix: MachineIx,
+        free: &Amount,
+        turn: Turn,
+        clock: Clock,
+    ) -> Option<(MachineIx, Rank)> {
+        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
+        let sample = self.roster.sample(&mut rng);
+        self.counters.looked_at += sample.len() as u64;
+        let first = |other: MachineIx| {
+            let rank = self.machines[other.at()].shared.first()?;
+            let theirs = self.turn(&rank, clock).filter(|theirs| *theirs < turn)?;
+            (self.may_start(ix, free, &rank) == Some(true)).then_some((theirs, other))
+        };
+        let best = sample.into_iter().filter(|other| *other != ix).filter_map(first).min()?;
+        self.counters.stolen += 1;
+        Some((best.1, best.0.3))
+    }
+
     /// The task belongs to the machine; it is started once its record is durable.
     pub fn bind(&mut self, ix: MachineIx, job: JobIx, task: u32, attempt: Attempt) {
         let Some(work) = self.work.get(&job) else {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -176,6 +176,8 @@
     /// Machines on which its tasks failed, since one last succeeded.
     pub failed_on: HashSet<MachineIx>,
     pub ending: bool,
+    /// It fits into its team's guarantee together with the team's earlier jobs.
+    pub guaranteed: bool,
 }
 
 impl Work {
@@ -405,9 +407,24 @@
             run_ms: 0,
             failed_on: HashSet::new(),
             ending: false,
+            guaranteed: false,
         });
     }
 
+    /// Which jobs fit into their teams' guarantees together with what is left of the teams'
+    /// earlier ones: they need not wait for other teams, or for their own team's later jobs.
+    pub fn mark_guaranteed(&mut self) {
+        let mut jobs: Vec<&mut Work> = self.work.values_mut().collect();
+        jobs.sort_by_key(|work| work.info.seq);
+        let mut taken: HashMap<TeamIx, Amount> = HashMap::new();
+        for work in jobs {
+            let Some(team) = self.teams.get(&work.info.team) else { continue };
+            let all = taken.entry(work.info.team).or_default();
+            all.add(&work.info.need.times(u64::from(work.left())));
+            work.guaranteed = all.cpu <= team.guaranteed.cpu && all.gpu <= team.guaranteed.gpu;
+        }
+    }
+
     /// How long a quarter of the machines there would be busy with the whole job.
     fn size_ms(&self, info: &JobInfo) -> u64 {
         let open = self.roster.open().iter().map(|ix| self.machines[ix.at()].size.cpu).sum::<u64>();
@@ -417,6 +434,7 @@
 
     /// Queues every task of a job that is neither finished, nor out, nor queued: for new jobs.
     pub fn queue_missing(&mut self, ix: JobIx) {
+        self.mark_guaranteed();
         let Some(work) = self.work.get(&ix) else {
             return;
         };
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/plan.rs
@@ -56,6 +56,7 @@
         if self.kinds.is_empty() {
             return;
         }
+        self.mark_guaranteed();
         let mut plan = Plan::new(self, clock);
         plan.lay_out();
         let (used, wanted) = (plan.used, plan.wanted);
--- a/src/coordination/leader/queues.rs
+++ b/src/coordination/leader/queues.rs
@@ -62,6 +62,11 @@
         self.tasks.keys().copied().collect()
     }
 
+    /// The job whose turn comes first.
+    pub fn first(&self) -> Option<Rank> {
+        self.tasks.keys().next().copied()
+    }
+
     pub fn pop(&mut self, rank: Rank) -> Option<u32> {
         let tasks = self.tasks.get_mut(&rank)?;
         let task = tasks.pop_front();
