--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -43,6 +43,21 @@
     Mesh { node: String, message: MeshMessage },
 }
 
+impl Input {
+    /// For measurements.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Input::Tick => "tick",
+            Input::User { .. } => "user",
+            Input::Report { .. } => "report",
+            Input::State { .. } => "state",
+            Input::Cloud { .. } => "cloud",
+            Input::Orders { .. } => "orders",
+            Input::Mesh { .. } => "mesh",
+        }
+    }
+}
+
 #[derive(Debug)]
 pub enum Output {
     Answer { call: CallId, answer: Answer },
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,6 +7,7 @@
 mod router;
 mod servers;
 mod stream;
+mod timings;
 
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -26,6 +27,7 @@
 use mesh::Mesh;
 use poll::Watch;
 use servers::Servers;
+use timings::Timings;
 
 const FRONT: usize = 0;
 const MESH: usize = 1;
@@ -69,6 +71,7 @@
     servers: Servers,
     clients: Clients,
     mesh: Mesh,
+    timings: Timings,
 }
 
 fn listen(poller: &Arc<Poller>, addr: std::net::SocketAddr, key: usize) -> io::Result<Watch<TcpListener>> {
@@ -98,6 +101,7 @@
         servers: Servers::new(most),
         clients: Clients::new(settings.state, settings.cloud),
         mesh: Mesh::new(&settings),
+        timings: Timings::default(),
         node: Mutex::new(Node::new(settings, tunables, seed, clock)),
         common,
         front,
@@ -135,6 +139,7 @@
                 ticked = now;
                 self.clients.expire(&mut self.common);
                 self.servers.expire(&mut self.common);
+                self.timings.show(now);
                 self.common.inputs.push_back(Input::Tick);
                 self.drain();
             }
@@ -180,7 +185,9 @@
     fn drain(&mut self) {
         while let Some(input) = self.common.inputs.pop_front() {
             let clock = self.common.clock();
+            let (kind, started) = (input.kind(), self.timings.start());
             let outputs = self.node().handle(clock, input);
+            self.timings.stop(kind, started);
             for output in outputs {
                 self.carry_out(output);
             }
