--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -31,6 +31,8 @@
 
 /// A team waits so long for room before it claims back what it has lent.
 const CLAIM_MS: u64 = 2_000;
+/// About what a gang takes to be placed, fetch and gather once more.
+const AGAIN_MS: u64 = 10_000;
 /// Until a halt has reached a worker and its effect is known.
 const HALT_MS: u64 = 500;
 /// Added to the grace of a halt, so that a save has time to end.
@@ -214,11 +216,18 @@
         if !less_urgent && !borrowed {
             return None;
         }
-        let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
+        // A gang stops as a whole, and what it has fetched and gathered is lost too: without
+        // this, gangs that borrow were stopped again and again before they ran at all.
+        let (all, again_ms) = match victim.info.shape {
+            Shape::Gang => (u64::from(victim.info.tasks), AGAIN_MS),
+            _ => (1, 0),
+        };
+        let lost = |ms: u64| binding.need.cpu * (ms + again_ms) * all;
         if victim.info.checkpoint_ms > 0 && binding.running_since.is_some() {
-            return Some((victim.info.save_ms, binding.need.cpu * victim.info.save_ms));
+            return Some((victim.info.save_ms, lost(victim.info.save_ms)));
         }
-        Some((0, binding.need.cpu * ran))
+        let since = binding.running_since.or(binding.fetching_since);
+        Some((0, lost(since.map_or(0, |since| clock.now.since(since)))))
     }
 
     /// Holds machines for a gang and stops less urgent tasks on them.
