--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,6 +1,7 @@
 //! What only the leader knows and does: all machine queues, placement, the
 //! fleet, and the records that make it safe.
 
+pub mod bindings;
 pub mod dispatch;
 pub mod fleet;
 pub mod gangs;
@@ -13,6 +14,7 @@
 pub mod roster;
 pub mod silence;
 pub mod status;
+pub mod teams;
 pub mod withdraw;
 pub mod writer;
 
@@ -35,7 +37,7 @@
 use crate::settings::{Settings, Team};
 use crate::tunables::Tunables;
 use fleet::Fleet;
-use history::{History, PartId, Start};
+use history::{History, PartId};
 use queues::Queue;
 use roster::Roster;
 use writer::Writer;
@@ -411,20 +413,6 @@
         });
     }
 
-    /// Which jobs fit into their teams' guarantees together with what is left of the teams'
-    /// earlier ones: they need not wait for other teams, or for their own team's later jobs.
-    pub fn mark_guaranteed(&mut self) {
-        let mut jobs: Vec<&mut Work> = self.work.values_mut().collect();
-        jobs.sort_by_key(|work| work.info.seq);
-        let mut taken: HashMap<TeamIx, Amount> = HashMap::new();
-        for work in jobs {
-            let Some(team) = self.teams.get(&work.info.team) else { continue };
-            let all = taken.entry(work.info.team).or_default();
-            all.add(&work.info.need.times(u64::from(work.left())));
-            work.guaranteed = all.cpu <= team.guaranteed.cpu && all.gpu <= team.guaranteed.gpu;
-        }
-    }
-
     /// How long a quarter of the machines there would be busy with the whole job.
     fn size_ms(&self, info: &JobInfo) -> u64 {
         let open = self.roster.open().iter().map(|ix| self.machines[ix.at()].size.cpu).sum::<u64>();
@@ -514,94 +502,6 @@
         ix
     }
 
-    /// A task may be on a machine from now on.
-    pub fn attach(&mut self, ix: MachineIx, binding: Binding) {
-        let machine = &mut self.machines[ix.at()];
-        machine.used.add(&binding.need);
-        if let Some(team) = binding.team {
-            self.usage.entry(team).or_default().add(&binding.need);
-        }
-        if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
-            work.out.entry(binding.task.task).or_default().push((ix, binding.attempt));
-            *work.zones.entry(machine.zone).or_default() += 1;
-        }
-        *self.bound.entry(binding.task.job).or_default() += 1;
-        machine.bindings.push(binding);
-    }
-
-    /// A task is certainly not on the machine any more.
-    pub fn detach(&mut self, ix: MachineIx, at: usize, clock: Clock) -> Binding {
-        let machine = &mut self.machines[ix.at()];
-        let binding = machine.bindings.swap_remove(at);
-        machine.used = machine.used.less(&binding.need);
-        if machine.bindings.is_empty() {
-            machine.idle_since = clock.now;
-        }
-        if let Some(team) = binding.team
-            && let Some(used) = self.usage.get_mut(&team)
-        {
-            *used = used.less(&binding.need);
-        }
-        if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
-            if let Some(places) = work.out.get_mut(&binding.task.task) {
-                places.retain(|place| *place != (ix, binding.attempt));
-                if places.is_empty() {
-                    work.out.remove(&binding.task.task);
-                }
-            }
-            if let Some(count) = work.zones.get_mut(&machine.zone) {
-                *count -= 1;
-                if *count == 0 {
-                    work.zones.remove(&machine.zone);
-                }
-            }
-        }
-        if let Some(count) = self.bound.get_mut(&binding.task.job) {
-            *count -= 1;
-            if *count == 0 {
-                self.bound.remove(&binding.task.job);
-            }
-        }
-        let start = Start { machine: ix, task: binding.task, attempt: binding.attempt };
-        self.history.left(binding.part, start);
-        self.roster.room(ix);
-        binding
-    }
-
-    /// Bindings that are to stop and whose run command never went out are simply dropped.
-    pub fn drop_unsent(&mut self, ix: MachineIx, clock: Clock) {
-        let unsent = |binding: &Binding| {
-            binding.halt.is_some() && !binding.late && matches!(binding.run, Run::Planned | Run::Recorded)
-        };
-        while let Some(at) = self.machines[ix.at()].bindings.iter().position(unsent) {
-            let binding = self.detach(ix, at, clock);
-            self.requeue(&binding, 0, clock);
-        }
-    }
-
-    pub fn touch_image(&mut self, ix: MachineIx, image: ImageIx, mb: u64) {
-        let machine = &mut self.machines[ix.at()];
-        machine.images.retain(|(held, _)| *held != image);
-        machine.images.push((image, mb));
-        self.holders.entry(image).or_default().insert(ix);
-        let cache = self.kinds.get(&machine.kind).map_or(u64::MAX, |kind| kind.cache_mb);
-        while machine.images.len() > 1 && machine.images.iter().map(|(_, mb)| mb).sum::<u64>() > cache {
-            let (dropped, _) = machine.images.remove(0);
-            if let Some(holders) = self.holders.get_mut(&dropped) {
-                holders.remove(&ix);
-            }
-        }
-    }
-
-    /// Nothing is known of its images any more.
-    pub fn forget_images(&mut self, ix: MachineIx) {
-        for (image, _) in std::mem::take(&mut self.machines[ix.at()].images) {
-            if let Some(holders) = self.holders.get_mut(&image) {
-                holders.remove(&ix);
-            }
-        }
-    }
-
     /// Something changed that decides whether the machine takes queued tasks.
     pub fn refresh(&mut self, ix: MachineIx) {
         let machine = &self.machines[ix.at()];
@@ -615,95 +515,4 @@
         self.spread_queues(ix);
         self.history.going_back(ix);
     }
-
-    /// Puts a task back in line, unless its job has ended.
-    pub fn requeue(&mut self, binding: &Binding, delay_ms: u64, clock: Clock) {
-        let Some(ix) = binding.job else { return };
-        let Some(work) = self.work.get(&ix) else {
-            return;
-        };
-        // A record may still list a task that a later one shows elsewhere: gone from
-        // one place, it must not start again while it is at the other.
-        if work.done.has(binding.task.task) || work.out.contains_key(&binding.task.task) {
-            return;
-        }
-        if work.info.together() || delay_ms > 0 {
-            let at = clock.now.plus(delay_ms);
-            self.delayed.entry(at).or_default().push((ix, binding.task.task));
-        } else {
-            self.enqueue(ix, &[binding.task.task]);
-        }
-    }
-
-    /// Tasks whose wait is over.
-    pub fn wake(&mut self, clock: Clock) {
-        while let Some((at, _)) = self.delayed.first_key_value()
-            && *at <= clock.now
-        {
-            for (ix, task) in self.delayed.pop_first().map(|(_, tasks)| tasks).unwrap_or_default() {
-                let Some(work) = self.work.get(&ix) else {
-                    continue;
-                };
-                if work.done.has(task) || work.out.contains_key(&task) {
-                    continue;
-                }
-                if work.info.together() {
-                    self.gangs.insert(work.rank);
-                } else {
-                    self.enqueue(ix, &[task]);
-                }
-            }
-        }
-    }
-
-    fn used_by(&self, team: TeamIx) -> Amount {
-        self.usage.get(&team).copied().unwrap_or_default()
-    }
-
-    /// Has the team room for that much more?
-    pub fn within_quota(&self, team: TeamIx, need: &Amount) -> bool {
-        let Some(settings) = self.teams.get(&team) else {
-            return false;
-        };
-        let mut used = self.used_by(team);
-        used.add(need);
-        used.fits(&settings.limit())
-    }
-
-    /// Would the team still be within what it is guaranteed?
-    pub fn within_guarantee(&self, team: TeamIx, need: &Amount) -> bool {
-        let Some(settings) = self.teams.get(&team) else { return false };
-        let used = self.used_by(team);
-        used.cpu + need.cpu <= settings.guaranteed.cpu && used.gpu + need.gpu <= settings.guaranteed.gpu
-    }
-
-    /// Does the team use more than it is guaranteed? What is above is borrowed.
-    pub fn borrows(&self, team: TeamIx) -> bool {
-        let Some(settings) = self.teams.get(&team) else { return false };
-        let used = self.used_by(team);
-        used.cpu > settings.guaranteed.cpu || used.gpu > settings.guaranteed.gpu
-    }
-
-    /// Takes every task off a machine that is certainly gone or empty.
-    pub fn clear_machine(&mut self, ix: MachineIx, clock: Clock) {
-        while !self.machines[ix.at()].bindings.is_empty() {
-            let at = self.machines[ix.at()].bindings.len() - 1;
-            let binding = self.detach(ix, at, clock);
-            self.requeue(&binding, 0, clock);
-        }
-    }
-
-    /// The queues of a machine that takes no more tasks go elsewhere.
-    pub fn spread_queues(&mut self, ix: MachineIx) {
-        let machine = &mut self.machines[ix.at()];
-        let mut tasks = machine.shared.drain();
-        tasks.extend(machine.dedicated.drain());
-        let mut by_job: BTreeMap<JobIx, Vec<u32>> = BTreeMap::new();
-        for (rank, task) in tasks {
-            by_job.entry(rank.job).or_default().push(task);
-        }
-        for (job, tasks) in by_job {
-            self.enqueue(job, &tasks);
-        }
-    }
 }
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/plan.rs
@@ -93,6 +93,10 @@
         let aim = self.aims.get(&work.info.class).and_then(|aims| aims.first());
         let aim = aim.map(|aim| aim.saturating_sub(age));
         let fallback = (self.tunables.drain_s * 1000.0) as u64 + work.length_ms();
+        if self.hopeless(work, clock) {
+            // Nothing is won by renting for it as if its aim were about to pass.
+            return fallback;
+        }
         due.into_iter().chain(aim).min().unwrap_or(fallback)
     }
 
