One way to note that a machine goes back; guarantees marked once at a takeover

Both call return_told now, and a start told again goes through one add_start. return_recorded, which nobody read any more, and an alias of add_part are gone. Guarantees were worked out once for each inherited job; once for all is enough.

--- a/src/coordination/leader/history.rs
+++ b/src/coordination/leader/history.rs
@@ -93,6 +93,9 @@
 const LITTLE: usize = 4;
 /// With so many parts in which only finished tasks count, their blocks get records of their own.
 const MANY_FINISHED: usize = 32;
+/// A part that has less room than this takes no further machine, or task.
+const MACHINE_BYTES: usize = 400;
+const TASK_BYTES: usize = 60;
 /// Finished tasks wait so long for a part that is written anyway.
 const FINISHED_MS: u64 = 1_000;
 /// The part of the leader's changes that may be new parts of the log: removing a part
@@ -172,26 +175,25 @@
         self.parts.len()
     }
 
-    fn add_part(&mut self, key: Key) -> PartId {
+    /// Once all it tells is taken in, it is `checked`.
+    pub fn add_part(&mut self, key: Key) -> PartId {
         let id = PartId(self.next_part);
         self.next_part += 1;
         self.parts.insert(id, Part::new(key));
         id
     }
 
-    /// A part of an earlier leader's, oldest first. Once all it tells is taken in, `checked`.
-    pub fn inherit(&mut self, key: Key) -> PartId {
-        self.add_part(key)
-    }
-
-    pub fn add_start(&mut self, part: PartId, start: Start) {
+    /// The part tells of it; what an earlier one told of it counts no more.
+    pub fn add_start(&mut self, part: PartId, start: Start, before: Option<PartId>) {
+        self.left(before, start);
         if let Some(part) = self.parts.get_mut(&part) {
             part.told += 1;
             part.starts.insert(start);
         }
     }
 
-    pub fn add_return(&mut self, part: PartId, machine: MachineIx) {
+    fn add_return(&mut self, part: PartId, machine: MachineIx, before: Option<PartId>) {
+        self.gone(machine, before);
         if let Some(part) = self.parts.get_mut(&part) {
             part.told += 1;
             part.returns.insert(machine);
@@ -290,14 +292,13 @@
 
     fn tell_machines(&mut self, mirror: &Mirror, record: &mut LogRecord, told: &mut Told, most: usize) {
         while let Some(start) = self.history.starts.first().copied() {
-            // With room for the machine and some tasks of it.
-            if record.bytes() + 400 > most {
+            if record.bytes() + MACHINE_BYTES > most {
                 return;
             }
             self.tell_machine(start.machine, mirror, record, told, most);
         }
         while let Some(ix) = self.history.returns.first().copied() {
-            if record.bytes() + 400 > most {
+            if record.bytes() + MACHINE_BYTES > most {
                 return;
             }
             self.tell_machine(ix, mirror, record, told, most);
@@ -325,7 +326,7 @@
             told.returns.push(ix);
         }
         while let Some(start) = self.history.starts.first().copied().filter(|start| start.machine == ix) {
-            if record.bytes() + 60 > most {
+            if record.bytes() + TASK_BYTES > most {
                 return;
             }
             self.history.starts.remove(&start);
@@ -336,7 +337,7 @@
 
     fn tell_finished(&mut self, record: &mut LogRecord, told: &mut Told, most: usize) {
         while let Some(task) = self.history.finished.first().copied() {
-            if record.bytes() + 60 > most {
+            if record.bytes() + TASK_BYTES > most {
                 return;
             }
             self.history.finished.remove(&task);
@@ -346,6 +347,13 @@
         self.history.finished_since = None;
     }
 
+    /// It is durable that the machine goes back: it may be returned.
+    pub(super) fn return_told(&mut self, ix: MachineIx, part: PartId) {
+        let before = self.machines[ix.at()].return_part.replace(part);
+        self.history.add_return(part, ix, before);
+        self.fleet.to_release.insert(ix);
+    }
+
     /// A part of the log is durable: what it tells may be acted on.
     pub fn told(&mut self, told: Told, mirror: &Mirror) {
         self.history.next_name += 1;
@@ -359,19 +367,12 @@
                 binding.run = Run::Recorded;
                 self.to_tell.insert(start.machine);
             }
-            self.history.left(before, start);
-            self.history.add_start(id, start);
+            self.history.add_start(id, start, before);
         }
         for ix in told.returns {
-            let machine = &mut self.machines[ix.at()];
-            if machine.life == Life::Gone {
-                continue;
+            if self.machines[ix.at()].life != Life::Gone {
+                self.return_told(ix, id);
             }
-            machine.return_recorded = true;
-            let before = machine.return_part.replace(id);
-            self.fleet.to_release.insert(ix);
-            self.history.gone(ix, before);
-            self.history.add_return(id, ix);
         }
         for task in told.finished {
             if mirror.end_of(task.job).is_none() && mirror.find(task.job).is_some() {
--- a/src/coordination/leader/inherit.rs
+++ b/src/coordination/leader/inherit.rs
@@ -28,7 +28,7 @@
         }
         parts.sort_by_key(|(key, ..)| mirror.stamp(&key.text()));
         for (key, machines, blocks) in parts {
-            let part = self.history.inherit(key);
+            let part = self.history.add_part(key);
             for (job, block) in blocks {
                 if mirror.end_of(job).is_none() && mirror.find(job).is_some() {
                     self.history.add_finished(part, job, block);
@@ -60,10 +60,7 @@
         machine.life = Life::Up;
         if recorded.returning {
             machine.returning = true;
-            machine.return_recorded = true;
-            machine.return_part = Some(part);
-            self.history.add_return(part, ix);
-            self.fleet.to_release.insert(ix);
+            self.return_told(ix, part);
         }
         for (task, attempt) in tasks {
             self.inherit_binding(ix, part, task, attempt, mirror, clock);
@@ -86,8 +83,7 @@
         if let Some(binding) = self.machines[ix.at()].bindings.iter_mut().find(known) {
             // Told again by a later part.
             let before = binding.part.replace(part);
-            self.history.left(before, start);
-            self.history.add_start(part, start);
+            self.history.add_start(part, start, before);
             return;
         }
         let job = mirror.find(task.job);
@@ -110,7 +106,7 @@
             gone_by: withdrawn,
         };
         self.attach(ix, binding);
-        self.history.add_start(part, start);
+        self.history.add_start(part, start, None);
     }
 
     pub(super) fn inherit_jobs(&mut self, mirror: &Mirror, clock: Clock) {
@@ -137,7 +133,8 @@
         }
         let jobs: Vec<JobIx> = self.work.keys().copied().collect();
         for ix in jobs {
-            self.queue_missing(ix);
+            self.queue_tasks(ix);
         }
+        self.mark_guaranteed();
     }
 }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -114,7 +114,6 @@
     pub answered: Option<Millis>,
     pub notice_until: Option<Millis>,
     pub returning: bool,
-    pub return_recorded: bool,
     /// The part of the log that tells that it goes back.
     pub return_part: Option<PartId>,
     pub bindings: Vec<Binding>,
@@ -422,7 +421,11 @@
 
     /// Queues every task of a job that is neither finished, nor out, nor queued: for new jobs.
     pub fn queue_missing(&mut self, ix: JobIx) {
+        self.queue_tasks(ix);
         self.mark_guaranteed();
+    }
+
+    fn queue_tasks(&mut self, ix: JobIx) {
         let Some(work) = self.work.get(&ix) else {
             return;
         };
@@ -477,7 +480,6 @@
             answered: None,
             notice_until: None,
             returning: false,
-            return_recorded: false,
             return_part: None,
             bindings: Vec::new(),
             used: Amount::default(),
