Tidy: say once what was written twice

steal asks may_start instead of spelling out the same four conditions; samples are drawn in one place; a set of places for a gang has one way to get its room, no longer one a machine; machines are refreshed once a report, not at each flag as well; scenarios ask a slot whether it leads, and the state stand-in writes a key in one place. No behaviour is meant to change.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -218,7 +218,7 @@
         self.machines.is_empty() && self.done.is_empty()
     }
 
-    /// What follows is about this machine; tells by how much the record may grow at most.
+    /// What follows is about this machine.
     pub fn machine(&mut self, place: &Place) {
         let kind = position(&mut self.kinds, &place.kind, &mut self.bytes);
         let zone = position(&mut self.zones, &place.zone, &mut self.bytes);
--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -116,13 +116,20 @@
         }
     }
 
+    /// A random sample of the machines that take queued tasks. However large it is, it takes
+    /// one number of the leader's own generator.
+    fn draw(&mut self) -> Vec<MachineIx> {
+        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
+        let sample = self.roster.sample(&mut rng);
+        self.counters.looked_at += sample.len() as u64;
+        sample
+    }
+
     /// The machine of a sample that can start most of the job's tasks, cheap ones first;
     /// else the one with the shortest queue for its size. And how many it can start.
     fn best_sampled(&mut self, job: JobIx) -> Option<(MachineIx, usize)> {
-        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
         for _ in 0..SAMPLES {
-            let sample = self.roster.sample(&mut rng);
-            self.counters.looked_at += sample.len() as u64;
+            let sample = self.draw();
             let best = self.best_of(job, sample.into_iter());
             if best.is_some() {
                 return best;
@@ -217,8 +224,8 @@
     }
 
     /// May a task of this job start now with this much room? None: but for its team's limit.
-    fn may_start(&self, ix: MachineIx, free: &Amount, rank: &Rank) -> Option<bool> {
-        let Some(work) = self.work.get(&rank.job) else { return Some(false) };
+    fn may_start(&self, ix: MachineIx, free: &Amount, job: JobIx) -> Option<bool> {
+        let Some(work) = self.work.get(&job) else { return Some(false) };
         if !work.info.need.fits(free) || !self.suits(ix, work) || !self.zone_allows(ix, work) {
             return Some(false);
         }
@@ -242,7 +249,7 @@
         let free = machine.free();
         let mut limited = false;
         let able = queue.ranks().into_iter().filter(|rank| {
-            let may = self.may_start(ix, &free, rank);
+            let may = self.may_start(ix, &free, rank.job);
             limited |= may.is_none();
             may == Some(true)
         });
@@ -274,13 +281,11 @@
         turn: Turn,
         clock: Clock,
     ) -> Option<(MachineIx, Rank)> {
-        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
-        let sample = self.roster.sample(&mut rng);
-        self.counters.looked_at += sample.len() as u64;
+        let sample = self.draw();
         let first = |other: MachineIx| {
             let rank = self.machines[other.at()].shared.first()?;
             let theirs = self.turn(&rank, clock).filter(|theirs| *theirs < turn)?;
-            (self.may_start(ix, free, &rank) == Some(true)).then_some((theirs, other))
+            (self.may_start(ix, free, rank.job) == Some(true)).then_some((theirs, other))
         };
         let best = sample.into_iter().filter(|other| *other != ix).filter_map(first).min()?;
         self.counters.stolen += 1;
@@ -320,18 +325,9 @@
     /// Takes half of what it could run from the longest of a random sample of shared
     /// queues, as many as the square root of all (source).
     fn steal(&mut self, thief: MachineIx, clock: Clock) -> bool {
-        let mut rng = SmallRng::seed_from_u64(self.rng.next_u64());
-        let sample = self.roster.sample(&mut rng);
-        self.counters.looked_at += sample.len() as u64;
+        let sample = self.draw();
         let free = self.machines[thief.at()].free();
-        let wanted = |job: JobIx| {
-            self.work.get(&job).is_some_and(|work| {
-                work.info.need.fits(&free)
-                    && self.suits(thief, work)
-                    && self.zone_allows(thief, work)
-                    && self.within_quota(work.info.team, &work.info.need)
-            })
-        };
+        let wanted = |job: JobIx| self.may_start(thief, &free, job) == Some(true);
         let longest = sample
             .into_iter()
             .filter(|ix| *ix != thief)
@@ -356,15 +352,14 @@
         let machine = &mut self.machines[thief.at()];
         if taken.is_empty() {
             let wait = machine.steal_wait_ms;
-            machine.next_steal = clock.now.plus(wait.ceil() as u64);
-            machine.steal_wait_ms *= 2.0;
-            if machine.steal_wait_ms > bound {
+            if wait * 2.0 > bound {
                 machine.steal_wait_ms = first;
                 machine.next_steal = clock.now;
                 self.roster.rest(thief);
             } else {
-                let until = machine.next_steal;
-                self.roster.nap(until, thief);
+                machine.steal_wait_ms = wait * 2.0;
+                machine.next_steal = clock.now.plus(wait.ceil() as u64);
+                self.roster.nap(machine.next_steal, thief);
             }
             return;
         }
--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/gangs.rs
@@ -9,7 +9,7 @@
 use crate::protocol::users::Shape;
 
 /// Machines for all tasks, and what the dearest of them costs in milliseconds.
-type Slots = (u64, Vec<(MachineIx, Way)>);
+type Slots = (u64, Vec<MachineIx>);
 
 /// How a machine gets room for a gang.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -60,22 +60,24 @@
             // Room that is free may be dearer than room to be made: an image has to be fetched.
             let free = self.slots(rank.job, tasks.len(), Way::Free, clock);
             // Waiting for others' ends is for those that may stop nobody.
-            let made = self
-                .slots(rank.job, tasks.len(), Way::Halt, clock)
-                .or_else(|| self.slots(rank.job, tasks.len(), Way::Drain, clock).filter(|_| free.is_none()));
-            match (free, made) {
-                (Some((now, machines)), made) if made.as_ref().is_none_or(|(later, _)| now <= *later) => {
+            let halted = self.slots(rank.job, tasks.len(), Way::Halt, clock);
+            match (free, halted) {
+                (Some((now, machines)), halted) if halted.as_ref().is_none_or(|(later, _)| now <= *later) => {
                     self.start_gang(rank, &tasks, &machines);
                 }
-                (_, Some((_, machines))) => self.make_room(rank, &machines, clock),
-                _ => {}
+                (_, Some((_, machines))) => self.make_room(rank, &machines, Way::Halt, clock),
+                (_, None) => {
+                    if let Some((_, machines)) = self.slots(rank.job, tasks.len(), Way::Drain, clock) {
+                        self.make_room(rank, &machines, Way::Drain, clock);
+                    }
+                }
             }
         }
     }
 
-    fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[(MachineIx, Way)]) {
+    fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[MachineIx]) {
         let attempt = self.next_attempt();
-        for (task, (ix, _)) in tasks.iter().zip(machines) {
+        for (task, ix) in tasks.iter().zip(machines) {
             self.bind(*ix, rank.job, *task, attempt);
         }
         self.drop_holds(rank.job);
@@ -140,7 +142,7 @@
             if take > 0 {
                 delay = delay.max(cost);
             }
-            chosen.extend(std::iter::repeat_n((ix, way), take as usize));
+            chosen.extend(std::iter::repeat_n(ix, take as usize));
         }
         (chosen.len() == count).then_some((delay, chosen))
     }
@@ -230,12 +232,11 @@
         Some((0, lost(since.map_or(0, |since| clock.now.since(since)))))
     }
 
-    /// Holds machines for a gang and stops less urgent tasks on them.
-    fn make_room(&mut self, rank: Rank, machines: &[(MachineIx, Way)], clock: Clock) {
+    /// Holds machines for a gang, and stops tasks on them if that is the way.
+    fn make_room(&mut self, rank: Rank, machines: &[MachineIx], way: Way, clock: Clock) {
         // Held already; but stopping tasks after all is better than waiting for their ends.
-        let best = machines.iter().map(|(_, way)| *way).max().unwrap_or(Way::Free);
         let ours = |ix: &MachineIx| {
-            self.machines[ix.at()].held_for.is_some_and(|hold| hold.job == rank.job && hold.way <= best)
+            self.machines[ix.at()].held_for.is_some_and(|hold| hold.job == rank.job && hold.way <= way)
         };
         if self.held.iter().any(ours) {
             return;
@@ -245,11 +246,11 @@
         };
         let need = work.info.need;
         let until = clock.now.plus((self.tunables.hold_s * 1000.0) as u64);
-        let mut wanted: BTreeMap<(MachineIx, Way), u64> = BTreeMap::new();
-        for chosen in machines.iter().copied() {
-            *wanted.entry(chosen).or_default() += 1;
+        let mut wanted: BTreeMap<MachineIx, u64> = BTreeMap::new();
+        for ix in machines.iter().copied() {
+            *wanted.entry(ix).or_default() += 1;
         }
-        for ((ix, way), tasks) in wanted {
+        for (ix, tasks) in wanted {
             self.machines[ix.at()].held_for = Some(Hold { job: rank.job, until, way });
             self.held.insert(ix);
             if way == Way::Halt {
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -105,6 +105,7 @@
         (report.session, report.tick) > (machine.session, machine.tick)
     }
 
+    /// Whoever calls it refreshes the machine when all is taken in.
     fn observe(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
         let before = self.machines[ix.at()].session;
         if report.session > before {
@@ -119,7 +120,6 @@
                 if machine.notice_until.is_none() {
                     log::info!("machine {} is taken back in {ms} ms", machine.name);
                     machine.notice_until = Some(until);
-                    self.refresh(ix);
                     self.on_notice(ix, ms);
                 }
             }
@@ -286,7 +286,6 @@
         if machine.errors.len() >= SICK_JOBS && !machine.sick {
             log::info!("machine {} taken for sick", machine.name);
             machine.sick = true;
-            self.refresh(ix);
             self.spread_queues(ix);
         }
     }
@@ -311,7 +310,6 @@
             if runs >= COMPARED_RUNS && sum > SLOW * f64::from(runs) && !machine.slow {
                 log::info!("machine {} taken for slow", machine.name);
                 machine.slow = true;
-                self.roster.set(ix, false, false);
             }
             // Only runs that were seen from start to end say how long a task takes.
             work.runs += 1;
--- a/src/coordination/leader/writer.rs
+++ b/src/coordination/leader/writer.rs
@@ -153,11 +153,7 @@
     }
 
     fn plan(&mut self, clock: Clock, spare: usize, per_second: f64, batch: &mut Batch<'_>) {
-        let ended: Vec<JobId> =
-            self.writer.ends.iter().copied().filter(|id| batch.mirror.end_of(*id).is_some()).collect();
-        for id in ended {
-            self.writer.ends.remove(&id);
-        }
+        self.writer.ends.retain(|id| batch.mirror.end_of(*id).is_none());
         for id in &self.writer.ends {
             if batch.full() {
                 return;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -29,6 +29,12 @@
     life: u64,
 }
 
+impl Slot {
+    fn leads(&self) -> bool {
+        self.node.as_ref().is_some_and(|node| node.leader().is_some())
+    }
+}
+
 struct World {
     now: u64,
     config: Value,
@@ -547,14 +553,12 @@
             ["workers", op, right] => compare(self.workers.len() as u64, op, right),
             ["tasks", op, right] => compare(self.workers.iter().map(on).sum(), op, right),
             ["leader", op, node] => {
-                let leads = |slot: &&Slot| slot.node.as_ref().is_some_and(|node| node.leader().is_some());
                 let leads_any =
-                    self.nodes.iter().filter(leads).any(|slot| *node == "any" || slot.name == *node);
+                    self.nodes.iter().any(|slot| slot.leads() && (*node == "any" || slot.name == *node));
                 (*op == "=") == leads_any
             }
             ["leaders", op, right] => {
-                let leads = |slot: &&Slot| slot.node.as_ref().is_some_and(|node| node.leader().is_some());
-                compare(self.nodes.iter().filter(leads).count() as u64, op, right)
+                compare(self.nodes.iter().filter(|slot| slot.leads()).count() as u64, op, right)
             }
             ["ready", node] => {
                 let slot = self.nodes.iter().find(|slot| slot.name == *node).expect("a node");
@@ -572,8 +576,7 @@
 
     fn node(&self, name: &str) -> usize {
         if name == "leader" {
-            let leads = |slot: &Slot| slot.node.as_ref().is_some_and(|node| node.leader().is_some());
-            return self.nodes.iter().position(leads).expect("a leader");
+            return self.nodes.iter().position(Slot::leads).expect("a leader");
         }
         self.nodes.iter().position(|slot| slot.name == name).expect("a node")
     }
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -51,9 +51,13 @@
 
     pub fn put(&mut self, key: &str, value: Value) {
         self.revision += 1;
-        let event = json!({"write": key, "value": value.clone(), "stamp": self.revision});
+        self.write(key, &value, None);
+    }
+
+    fn write(&mut self, key: &str, value: &Value, permit: Option<u64>) {
+        self.keys.insert(key.into(), (value.clone(), self.revision, permit));
+        let event = json!({"write": key, "value": value, "stamp": self.revision});
         self.events.push((self.revision, event));
-        self.keys.insert(key.into(), (value, self.revision, None));
     }
 
     /// After an outage every lease has its full time again.
@@ -138,10 +142,7 @@
         self.revision += 1;
         for change in changes {
             if let Some(key) = change["write"].as_str() {
-                let entry = (change["value"].clone(), self.revision, change["permit"].as_u64());
-                self.keys.insert(key.into(), entry);
-                let event = json!({"write": key, "value": change["value"], "stamp": self.revision});
-                self.events.push((self.revision, event));
+                self.write(key, &change["value"], change["permit"].as_u64());
             } else if let Some(key) = change["drop"].as_str() {
                 self.keys.remove(key);
                 self.events.push((self.revision, json!({"drop": key, "stamp": self.revision})));
