One step of the node for all events that came in together

Every event ended with a look at leadership, placement, fleet and records; now up to 32 events that were ready at once share it.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -100,7 +100,15 @@
         self.leader.as_ref()
     }
 
+    /// Takes one event in and does what is due.
     pub fn handle(&mut self, clock: Clock, input: Input) -> Vec<Output> {
+        let mut out = self.take(clock, input);
+        out.extend(self.step(clock));
+        out
+    }
+
+    /// Takes an event in and answers it; what else follows from it is left to the next step.
+    pub fn take(&mut self, clock: Clock, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
         self.now = clock.now;
         match input {
@@ -114,12 +122,13 @@
             Input::Orders { ask, outcome } => self.orders_answered(clock, ask, &outcome),
             Input::Mesh { node, message } => self.mesh(clock, &node, &message),
         }
-        self.step(clock, &mut out);
         out
     }
 
-    /// What is due now, whatever the event was.
-    fn step(&mut self, clock: Clock, out: &mut Vec<Output>) {
+    /// What is due now, whatever the events were: one step for all that came in together.
+    pub fn step(&mut self, clock: Clock) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        let out = &mut outputs;
         let leads = self.leader.is_some() || self.taking_over.is_some();
         let due = if leads { LEADER_POLL_MS } else { FOLLOWER_POLL_MS };
         let favoured = clock.now < self.peers.favoured_until;
@@ -138,6 +147,7 @@
             self.consider_resigning(clock, out);
         }
         self.lead(clock, out);
+        outputs
     }
 
     /// A node that knows no machine types asks the cloud itself.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -35,6 +35,9 @@
 /// Without events the node is asked that often what is due.
 const TICK_MS: u64 = 50;
 const EVENTS: usize = 256;
+/// Events that came together share one step of the node, but not so many that its lease
+/// would wait for them.
+const STEP_INPUTS: usize = 32;
 
 /// What the transport's parts share.
 pub struct Common {
@@ -183,18 +186,36 @@
 
     /// Tells the node what happened and carries out what it decides, until nothing is left.
     fn drain(&mut self) {
+        let mut taken = 0;
         while let Some(input) = self.common.inputs.pop_front() {
             let clock = self.common.clock();
             let (kind, started) = (input.kind(), self.timings.start());
-            let outputs = self.node().handle(clock, input);
+            let outputs = self.node().take(clock, input);
             self.timings.stop(kind, started);
-            for output in outputs {
-                self.carry_out(output);
+            self.carry_out(outputs);
+            taken += 1;
+            if taken >= STEP_INPUTS || self.common.inputs.is_empty() {
+                taken = 0;
+                self.step();
             }
         }
     }
 
-    fn carry_out(&mut self, output: Output) {
+    fn step(&mut self) {
+        let clock = self.common.clock();
+        let started = self.timings.start();
+        let outputs = self.node().step(clock);
+        self.timings.stop("step", started);
+        self.carry_out(outputs);
+    }
+
+    fn carry_out(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            self.carry_out_one(output);
+        }
+    }
+
+    fn carry_out_one(&mut self, output: Output) {
         let common = &mut self.common;
         match output {
             Output::Answer { call, answer } => self.servers.answer(common, call, &answer),
