--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -170,6 +170,18 @@
         }
     }
 
+    /// What the state service has answered meanwhile is taken in before whatever else waits.
+    pub fn look_at_state(&mut self, common: &mut Common) {
+        let asked = self.asks.values().filter(|(target, _)| *target == Target::State);
+        let keys: Vec<usize> = asked.filter_map(|(_, key)| *key).collect();
+        let before = common.inputs.len();
+        for key in keys {
+            self.event(common, key);
+        }
+        let fresh = common.inputs.len() - before;
+        common.inputs.rotate_right(fresh);
+    }
+
     pub fn event(&mut self, common: &mut Common, key: usize) {
         let Some(client) = self.open.get_mut(&key) else {
             return;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -35,9 +35,9 @@
 /// Without events the node is asked that often what is due.
 const TICK_MS: u64 = 50;
 const EVENTS: usize = 256;
-/// Events that came together share one step of the node, but not so many that its lease
-/// would wait for them.
-const STEP_INPUTS: usize = 32;
+/// So many events that came together share one step of the node, and wait for no more
+/// than that many others.
+const STEP_INPUTS: usize = 16;
 
 /// What the transport's parts share.
 pub struct Common {
@@ -135,6 +135,12 @@
             }
             for event in events.iter() {
                 self.event(event);
+                // With hundreds of connections ready at once, a renewal's answer came seconds
+                // late and the lead was lost again and again: the lease comes first.
+                if self.common.inputs.len() >= STEP_INPUTS {
+                    self.clients.look_at_state(&mut self.common);
+                    self.drain();
+                }
             }
             self.drain();
             let now = self.common.now();
@@ -186,16 +192,13 @@
 
     /// Tells the node what happened and carries out what it decides, until nothing is left.
     fn drain(&mut self) {
-        let mut taken = 0;
         while let Some(input) = self.common.inputs.pop_front() {
             let clock = self.common.clock();
             let (kind, started) = (input.kind(), self.timings.start());
             let outputs = self.node().take(clock, input);
             self.timings.stop(kind, started);
             self.carry_out(outputs);
-            taken += 1;
-            if taken >= STEP_INPUTS || self.common.inputs.is_empty() {
-                taken = 0;
+            if self.common.inputs.is_empty() {
                 self.step();
             }
         }
