--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -219,6 +219,9 @@
     pub looked_at: u64,
     /// Changes asked of the state service.
     pub changes: u64,
+    /// Machines greeted, and most of them by one step.
+    pub greeted: u64,
+    pub greeted_at_once: u64,
 }
 
 #[derive(Debug)]
--- a/src/coordination/leader/orders.rs
+++ b/src/coordination/leader/orders.rs
@@ -9,6 +9,8 @@
 const HALT_AGAIN_MS: u64 = 1500;
 /// After a direct command failed, the worker's own reports are waited for.
 const DIRECT_PAUSE_MS: u64 = 3000;
+/// Machines greeted by one step of a new leader.
+const GREETINGS: u64 = 16;
 /// Most commands in one message.
 const MOST_ORDERS: usize = 400;
 
@@ -67,6 +69,7 @@
     /// Machines that have something to hear, each at most one message at a time.
     pub fn direct(&mut self, clock: Clock, may_run: bool) -> Vec<Direct> {
         let mut messages = Vec::new();
+        let mut greetings = 0;
         for ix in std::mem::take(&mut self.to_tell) {
             let machine = &self.machines[ix.at()];
             if machine.life != Life::Up || machine.direct_open || clock.now < machine.direct_after {
@@ -76,6 +79,12 @@
             if greeting && machine.session.0 == 0 && machine.endpoint.is_empty() {
                 continue;
             }
+            // All at once they would hold up renewals and reports; who reports first needs none.
+            if greeting && greetings >= GREETINGS {
+                self.to_tell.insert(ix);
+                continue;
+            }
+            greetings += u64::from(greeting);
             let orders = if greeting { Vec::new() } else { self.orders(ix, clock, None, may_run) };
             if orders.is_empty() && !greeting {
                 continue;
@@ -91,6 +100,8 @@
             machine.direct_open = true;
             messages.push(Direct { machine: ix, session: machine.session, runs, orders });
         }
+        self.counters.greeted += greetings;
+        self.counters.greeted_at_once = self.counters.greeted_at_once.max(greetings);
         messages
     }
 
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -114,7 +114,9 @@
         match input {
             Input::Tick => {}
             Input::User { call, request } => {
-                self.users.take(clock, call, request, &self.ledger, &self.mirror, &self.settings, &mut out);
+                let (ledger, mirror) = (&self.ledger, &self.mirror);
+                let answer = self.users.take(clock, call, request, ledger, mirror, &self.settings);
+                out.extend(answer.map(|answer| Output::Answer { call, answer }));
             }
             Input::Report { call, report } => self.report(clock, call, &report, &mut out),
             Input::State { ask, outcome } => self.state_answered(clock, ask, &outcome, &mut out),
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -66,6 +66,7 @@
         self.waiting.len() + self.queued.len()
     }
 
+    /// A request comes in: its answer, if it can be answered at once.
     pub fn take(
         &mut self,
         clock: Clock,
@@ -74,16 +75,12 @@
         ledger: &Ledger,
         mirror: &Mirror,
         settings: &Settings,
-        out: &mut Vec<Output>,
-    ) {
+    ) -> Option<Answer> {
         if let Some(answer) = final_answer(&request, mirror) {
-            out.push(Output::Answer { call, answer });
-            return;
+            return Some(answer);
         }
         if !ledger.loaded || !ledger.reachable(clock.now) || self.held() >= MOST_WAITING {
-            let answer = Answer::later("cannot decide now", COME_BACK_S);
-            out.push(Output::Answer { call, answer });
-            return;
+            return Some(Answer::later("cannot decide now", COME_BACK_S));
         }
         let patience = match request {
             UserRequest::Poll { .. } => POLL_PATIENCE_MS,
@@ -100,6 +97,7 @@
             }
             request => self.waiting.push(Waiting { call, request, arrived: clock.now, until }),
         }
+        None
     }
 
     /// The mirror holds everything up to a read that was sent at `sent`.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -353,6 +353,8 @@
                     ("bound", c.bound),
                     ("looked", c.looked_at),
                     ("changes", c.changes),
+                    ("greeted", c.greeted),
+                    ("greeted_at_once", c.greeted_at_once),
                 ]
             })
             .collect();
