One budget over the buffers of users' and workers' connections

Each was bounded, their sum was not: 400 requests almost whole held 29 MB of a machine with 16. A quarter of the settings' memory is theirs now; beyond it a request that does not fit 4 KiB is told at once when to come back, slow readers are closed, and reports may take as much again. Idle connections keep 2 KiB instead of 16 each way.

--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -101,7 +101,7 @@
     let seed = clock.wall_ms ^ seed_of(&settings.node);
     log::info!("serving users and workers on {}, controllers on {}", settings.front, settings.mesh);
     let mut runtime = Runtime {
-        servers: Servers::new(most),
+        servers: Servers::new(most, settings.quota.mem_mb),
         clients: Clients::new(settings.state, settings.cloud),
         mesh: Mesh::new(&settings),
         timings: Timings::default(),
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -17,6 +17,15 @@
 const MOST_INPUT: usize = LARGEST_BODY + 32 * 1024;
 /// An answer that nobody takes is not kept beyond this.
 const MOST_OUTPUT: usize = 256 * 1024;
+/// While all buffers together hold too much, a connection gets no more than this for each
+/// direction. What fits is served as ever.
+const SCARCE: usize = 4 * 1024;
+/// The part of the settings' memory that the buffers may hold; workers' reports may take as
+/// much again, so that a flood from users does not cost the machines.
+const BUDGET_SHARE: f64 = 0.25;
+
+/// How a worker's report begins.
+const REPORT: &[u8] = b"POST /v1/report ";
 
 struct Server {
     stream: Stream,
@@ -24,7 +33,12 @@
     call: Option<CallId>,
     keep_alive: bool,
     closing: bool,
+    /// Answered before it was whole: the rest is thrown away, as closing at once could take
+    /// the answer from a user who is still sending.
+    discard: bool,
     active: Millis,
+    /// What its buffers held when last counted.
+    held: usize,
 }
 
 pub struct Servers {
@@ -33,16 +47,22 @@
     next_call: u64,
     most: usize,
     checked: Millis,
+    /// Bytes that all buffers hold, and may hold.
+    held: usize,
+    budget: usize,
 }
 
 impl Servers {
-    pub fn new(most: usize) -> Servers {
+    /// At most so many connections, on a machine with so much memory.
+    pub fn new(most: usize, mem_mb: f64) -> Servers {
         Servers {
             open: HashMap::new(),
             calls: HashMap::new(),
             next_call: 0,
             most,
             checked: Millis::default(),
+            held: 0,
+            budget: (mem_mb * 1024.0 * 1024.0 * BUDGET_SHARE) as usize,
         }
     }
 
@@ -56,8 +76,16 @@
         }
         let key = common.key();
         if let Ok(stream) = Stream::accepted(&common.poller, socket, key) {
-            let server =
-                Server { stream, call: None, keep_alive: true, closing: false, active: common.now() };
+            let active = common.now();
+            let server = Server {
+                stream,
+                call: None,
+                keep_alive: true,
+                closing: false,
+                discard: false,
+                active,
+                held: 0,
+            };
             self.open.insert(key, server);
         }
     }
@@ -71,18 +99,38 @@
     }
 
     fn close(&mut self, key: usize) {
-        if let Some(server) = self.open.remove(&key)
-            && let Some(call) = server.call
-        {
-            self.calls.remove(&call);
+        if let Some(server) = self.open.remove(&key) {
+            self.held -= server.held;
+            if let Some(call) = server.call {
+                self.calls.remove(&call);
+            }
+        }
+    }
+
+    /// Each connection is bounded, but a thousand of them together are more than there is.
+    fn count(&mut self, key: usize) {
+        if let Some(server) = self.open.get_mut(&key) {
+            let held = server.stream.held();
+            self.held = self.held - server.held + held;
+            server.held = held;
         }
     }
 
+    fn scarce(&self) -> bool {
+        self.held > self.budget
+    }
+
+    /// How much of a request may be held now.
+    fn most_input(&self, key: usize) -> usize {
+        let report = |server: &Server| server.stream.input.starts_with(REPORT);
+        let reserved = self.held <= 2 * self.budget && self.open.get(&key).is_some_and(report);
+        if self.scarce() && !reserved { SCARCE } else { MOST_INPUT }
+    }
+
     pub fn event(&mut self, common: &mut Common, key: usize, ready: bool) {
-        let Some(server) = self.open.get_mut(&key) else {
+        let Some(read) = self.fill(key) else {
             return;
         };
-        let read = server.stream.fill(MOST_INPUT);
         self.serve(common, key, ready);
         let Some(server) = self.open.get_mut(&key) else {
             return;
@@ -99,14 +147,39 @@
         self.push(key);
     }
 
+    /// Reads what may be held. What a request wants is known by its first bytes.
+    fn fill(&mut self, key: usize) -> Option<Flow> {
+        let most = self.most_input(key);
+        let mut read = self.open.get_mut(&key)?.stream.fill(most);
+        let more = self.most_input(key);
+        if more > most {
+            read = self.open.get_mut(&key)?.stream.fill(more);
+        }
+        self.count(key);
+        Some(read)
+    }
+
     /// Takes requests from the buffer until one has to wait for its answer.
     fn serve(&mut self, common: &mut Common, key: usize, ready: bool) {
-        while let Some(server) = self.open.get_mut(&key) {
+        loop {
+            let most = self.most_input(key);
+            let Some(server) = self.open.get_mut(&key) else {
+                return;
+            };
+            if server.discard {
+                server.stream.input.clear();
+            }
             if server.call.is_some() || server.closing {
                 return;
             }
             let request = match parse_request(&server.stream.input) {
                 Parsed::Partial if server.stream.input.len() >= MOST_INPUT => None,
+                Parsed::Partial if server.stream.input.len() >= most => {
+                    server.keep_alive = false;
+                    server.discard = true;
+                    Self::respond(server, &Answer::later("out of memory for requests", 1));
+                    return;
+                }
                 Parsed::Partial => return,
                 Parsed::Bad => None,
                 Parsed::Whole(request, taken) => {
@@ -151,18 +224,23 @@
 
     /// Sends what is pending and waits for what comes next.
     fn push(&mut self, key: usize) {
+        let most = if self.scarce() { SCARCE } else { MOST_OUTPUT };
         let Some(server) = self.open.get_mut(&key) else {
             return;
         };
         let mut flow = server.stream.flush();
         let pending = server.stream.pending();
-        if pending > MOST_OUTPUT || (server.closing && pending == 0) {
+        if pending > most || (server.closing && pending == 0 && !server.discard) {
             flow = Flow::Closed;
         }
+        if server.discard && pending == 0 {
+            server.stream.finish();
+        }
         if flow == Flow::Open {
             let room = server.stream.input.len() < MOST_INPUT && server.call.is_none();
             flow = server.stream.rearm(room);
         }
+        self.count(key);
         if flow == Flow::Closed {
             self.close(key);
         }
@@ -187,7 +265,8 @@
         }
         self.checked = now;
         let over = |server: &Server| {
-            let limit = if server.stream.input.is_empty() { IDLE_MS } else { HALF_SENT_MS };
+            let half = server.discard || !server.stream.input.is_empty();
+            let limit = if half { HALF_SENT_MS } else { IDLE_MS };
             server.call.is_none() && now.since(server.active) > limit
         };
         let stale: Vec<usize> =
--- a/src/transport/stream.rs
+++ b/src/transport/stream.rs
@@ -1,7 +1,7 @@
 //! A non-blocking TCP connection with bounded buffers.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 
 use polling::{Event, Poller};
@@ -10,6 +10,8 @@
 use super::poll::Watch;
 
 const READ_CHUNK: usize = 16 * 1024;
+/// An idle connection keeps no more than this for each direction.
+const KEPT: usize = 2 * 1024;
 
 pub struct Stream {
     watch: Watch<TcpStream>,
@@ -58,18 +60,31 @@
         self.output.extend_from_slice(bytes);
     }
 
+    /// Nothing more is sent; the peer sees that and closes.
+    pub fn finish(&self) {
+        // A connection that is gone already needs no end.
+        let _ = self.watch.source().shutdown(Shutdown::Write);
+    }
+
     pub fn pending(&self) -> usize {
         self.output.len() - self.written
     }
 
+    /// Bytes that its buffers take.
+    pub fn held(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
+    /// Reads what there is, until `most` is held.
     pub fn fill(&mut self, most: usize) -> Flow {
         let mut chunk = [0; READ_CHUNK];
         while self.input.len() < most {
-            match self.watch.source().read(&mut chunk) {
+            let wanted = READ_CHUNK.min(most - self.input.len());
+            match self.watch.source().read(&mut chunk[..wanted]) {
                 Ok(0) => return Flow::Closed,
                 Ok(n) => {
                     self.input.extend_from_slice(&chunk[..n]);
-                    if n < READ_CHUNK {
+                    if n < wanted {
                         return Flow::Open;
                     }
                 }
@@ -102,7 +117,7 @@
             }
         }
         self.output.clear();
-        self.output.shrink_to(READ_CHUNK);
+        self.output.shrink_to(KEPT);
         self.written = 0;
         Flow::Open
     }
@@ -119,7 +134,7 @@
     pub fn take_input(&mut self, taken: usize) {
         self.input.drain(..taken);
         if self.input.is_empty() {
-            self.input.shrink_to(READ_CHUNK);
+            self.input.shrink_to(KEPT);
         }
     }
 }
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -188,12 +188,84 @@
         "guess_s": 1.0, "snapshot_s": 0.0, "flush_s": 0.0, "due_s": null})
 }
 
+/// What the process holds now, in MB.
+fn resident_mb(child: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).expect("our own process");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("its memory");
+    line.split_whitespace().nth(1).expect("a number").parse::<u64>().expect("a number") / 1024
+}
+
+/// 400 requests almost whole (24 MB), answers that nobody reads, idle connections: the buffers
+/// stay within their part of the settings' memory, and reports and submissions get through.
 #[test]
-fn real_processes_survive_the_leaders_death() {
+fn half_sent_requests_stay_within_the_memory() {
     let start = Instant::now();
     let now = move || start.elapsed().as_millis() as u64 + 1000;
     let state = Arc::new(Mutex::new(State::default()));
-    let kind = KindSpec {
+    let cloud = Arc::new(Mutex::new(Cloud::default()));
+    cloud.lock().expect("cloud").kinds.push(small());
+    let (state_listener, state_addr) = listener();
+    let (cloud_listener, cloud_addr) = listener();
+    serve(
+        state_listener,
+        Arc::new(move |m: &str, p: &str, b: &[u8]| state.lock().expect("state").call(m, p, b, now())),
+    );
+    serve(
+        cloud_listener,
+        Arc::new(move |m: &str, p: &str, b: &[u8]| cloud.lock().expect("cloud").call(m, p, b, now())),
+    );
+    let front = free_addr();
+    let settings = json!({"node": "n0", "zone": "a", "front": front, "mesh_addr": free_addr(), "others": [],
+        "endpoints": {"cloud": cloud_addr, "state": state_addr},
+        "cluster": {"count": 1, "zones": ["a"], "teams": [{"name": "core"}],
+            "workers": {"report_s": 0.5, "lease_s": 6.0, "gang_wait_s": 10.0, "gang_peer_s": 2.0, "cancel_s": 20.0},
+            "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 4.0, "txn_ops": 8},
+            "cloud": {"rps": 10.0, "list_lag_s": 1.0},
+            "quota": {"core_share": 1.0, "mem_mb": 16.0, "max_connections": 800}, "time_bound_ms": 10.0}});
+    let file = std::env::temp_dir().join(format!("olivelatch-memory-{}.json", std::process::id()));
+    std::fs::write(&file, settings.to_string()).expect("a settings file");
+    let mut controllers =
+        Controllers { children: vec![None], files: vec![file], fronts: vec![front.clone()] };
+    controllers.start(0);
+    controllers.until(15, "/ready", |status, _| status == 200);
+
+    let connect = || TcpStream::connect(&front).expect("a connection");
+    let mut open: Vec<TcpStream> = (0..100).map(|_| connect()).collect();
+    for at in 0..400 {
+        let mut stream = connect();
+        let length = 62_000;
+        let head = format!("POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+        // Refused and closed while it is sent: that is as good as an answer.
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(&vec![b'a' + (at % 26) as u8; length - 100]);
+        open.push(stream);
+    }
+    // Thousands of requests whose answers are not read.
+    for _ in 0..20 {
+        let mut stream = connect();
+        stream.set_write_timeout(Some(Duration::from_millis(200))).expect("a time-out");
+        let _ = stream.write_all("GET /nowhere HTTP/1.1\r\n\r\n".repeat(3000).as_bytes());
+        open.push(stream);
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let held = resident_mb(controllers.children[0].as_ref().expect("it runs"));
+    assert!(held < 16, "{held} MB held");
+
+    let (status, _) = controllers.ask("POST", "/work", &submission("job-000001", 1)).expect("an answer");
+    assert_eq!(status, 201);
+    let report = json!({"box": "m", "endpoint": "127.0.0.1:9", "boxkind": "small", "hall": "a", "loaners": false,
+        "shift": 1, "tick": 1, "baton": 0, "warning_s": null, "pieces": [], "padding": "x".repeat(40_000)});
+    let answer = call(&front, "POST", "/v1/report", report.to_string().as_bytes()).expect("an answer");
+    assert_eq!(answer.0, 200);
+    // A large submission is told when to come back; garbage is garbage as on a calm day.
+    let large = json!({"uid": "job-000002", "padding": "x".repeat(40_000)});
+    assert_eq!(call(&front, "POST", "/work", large.to_string().as_bytes()).expect("an answer").0, 503);
+    assert_eq!(call(&front, "POST", "/work", b"{").expect("an answer").0, 400);
+    assert_eq!(call(&front, "get", "/work", b"").expect("an answer").0, 400);
+}
+
+fn small() -> KindSpec {
+    KindSpec {
         name: "small".into(),
         cpus: 4.0,
         memory: 16.0,
@@ -203,7 +275,15 @@
         zones: vec!["a".into()],
         count: 0,
         spot: 0,
-    };
+    }
+}
+
+#[test]
+fn real_processes_survive_the_leaders_death() {
+    let start = Instant::now();
+    let now = move || start.elapsed().as_millis() as u64 + 1000;
+    let state = Arc::new(Mutex::new(State::default()));
+    let kind = small();
     let mut cloud = Cloud::default();
     cloud.kinds.push(kind.clone());
     for _ in 0..2 {
