--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -1,5 +1,7 @@
 //! Workers: reports in, orders out.
 
+use std::borrow::Cow;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Answer, Call};
@@ -54,20 +56,23 @@
     Reap { task: TaskRef, attempt: Attempt },
 }
 
+/// Text is borrowed from the body, unless it is escaped: reports are the most of what is read.
 #[derive(Deserialize)]
-struct PieceWire {
-    piece: String,
+struct PieceWire<'a> {
+    #[serde(borrow)]
+    piece: Cow<'a, str>,
     #[serde(rename = "try")]
     attempt: u64,
-    status: String,
-    #[serde(default)]
-    cause: Option<String>,
+    #[serde(borrow)]
+    status: Cow<'a, str>,
+    #[serde(borrow, default)]
+    cause: Option<Cow<'a, str>>,
     #[serde(default)]
     kept: Option<bool>,
 }
 
 #[derive(Deserialize)]
-struct ReportWire {
+struct ReportWire<'a> {
     #[serde(rename = "box")]
     machine: String,
     #[serde(default)]
@@ -81,8 +86,8 @@
     baton: u64,
     #[serde(default)]
     warning_s: Option<f64>,
-    #[serde(default)]
-    pieces: Vec<PieceWire>,
+    #[serde(borrow, default)]
+    pieces: Vec<PieceWire<'a>>,
 }
 
 #[derive(Serialize)]
@@ -110,7 +115,7 @@
 }
 
 pub fn read_report(body: &[u8]) -> Option<Report> {
-    let wire: ReportWire = serde_json::from_slice(body).ok()?;
+    let wire: ReportWire<'_> = serde_json::from_slice(body).ok()?;
     let pieces: Option<Vec<Piece>> = wire.pieces.iter().map(read_piece).collect();
     Some(Report {
         machine: wire.machine,
@@ -126,11 +131,11 @@
     })
 }
 
-fn read_piece(wire: &PieceWire) -> Option<Piece> {
+fn read_piece(wire: &PieceWire<'_>) -> Option<Piece> {
     Some(Piece {
         task: TaskRef::parse(&wire.piece)?,
         attempt: Attempt(wire.attempt),
-        state: match wire.status.as_str() {
+        state: match &*wire.status {
             "fetching" => TaskState::Fetching,
             "gathering" => TaskState::Gathering,
             "running" => TaskState::Running,
@@ -141,7 +146,7 @@
     })
 }
 
-fn read_cause(wire: &PieceWire) -> ExitCause {
+fn read_cause(wire: &PieceWire<'_>) -> ExitCause {
     match wire.cause.as_deref() {
         Some("done") => ExitCause::Done,
         Some("halted") => ExitCause::Halted { saved: wire.kept == Some(true) },
@@ -190,3 +195,20 @@
 pub fn elsewhere(home: Option<&str>) -> Answer {
     Answer::json(421, &HomeWire { home })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reports_are_read_escaped_or_not() {
+        let plain = r#"{"box":"m","boxkind":"k","hall":"a","loaners":true,"shift":1,"tick":2,
+            "pieces":[{"piece":"job-000412/3","try":2,"status":"ended","cause":"done"}]}"#;
+        let escaped = plain.replace("job-000412/3", "job-000412\\/3").replace("done", "d\\u006fne");
+        let report = read_report(plain.as_bytes()).expect("a report");
+        assert_eq!(report.pieces[0].state, TaskState::Exited(ExitCause::Done));
+        assert_eq!(read_report(escaped.as_bytes()), Some(report));
+        assert_eq!(read_report(plain.replace("ended", "asleep").as_bytes()), None);
+        assert_eq!(read_report(&plain.as_bytes()[..40]), None);
+    }
+}
