--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -123,7 +123,7 @@
                 Some(key) => key,
                 None if pool.open < most_connections(target) => {
                     let key = common.key();
-                    match Stream::connect(&common.poller, addr, key) {
+                    match Stream::connect(&common.gate, addr, key) {
                         Ok(stream) => {
                             pool.open += 1;
                             let client = Client { stream, target, ask: None, active: common.now() };
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -56,7 +56,7 @@
             return;
         }
         let key = common.key();
-        if let Ok(stream) = Stream::accepted(&common.poller, socket, key) {
+        if let Ok(stream) = Stream::accepted(&common.gate, socket, key) {
             self.incoming.insert(key, Incoming { stream, node: None });
         }
     }
@@ -95,7 +95,7 @@
         }
         self.tried.insert(node.into(), now);
         let key = common.key();
-        let mut stream = Stream::connect(&common.poller, addr, key).ok()?;
+        let mut stream = Stream::connect(&common.gate, addr, key).ok()?;
         stream.queue(&encode(&MeshMessage::Hello { node: self.own.clone() }));
         self.outgoing.insert(key, Outgoing { stream, node: node.into() });
         self.by_node.insert(node.into(), key);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use polling::{Event, Events, Poller};
+use polling::{Event, Events};
 
 use crate::bookkeeping::ids::Millis;
 use crate::coordination::node::Node;
@@ -25,7 +25,7 @@
 use crate::tunables::Tunables;
 use clients::Clients;
 use mesh::Mesh;
-use poll::Watch;
+use poll::{Gate, Watch};
 use servers::Servers;
 use timings::Timings;
 
@@ -41,7 +41,7 @@
 
 /// What the transport's parts share.
 pub struct Common {
-    poller: Arc<Poller>,
+    gate: Arc<Gate>,
     next_key: usize,
     start: Instant,
     /// What the node is to be told next.
@@ -77,23 +77,19 @@
     timings: Timings,
 }
 
-fn listen(poller: &Arc<Poller>, addr: std::net::SocketAddr, key: usize) -> io::Result<Watch<TcpListener>> {
+fn listen(gate: &Arc<Gate>, addr: std::net::SocketAddr, key: usize) -> io::Result<Watch<TcpListener>> {
     let listener = TcpListener::bind(addr)?;
     listener.set_nonblocking(true)?;
-    Watch::new(poller, listener, Event::readable(key))
+    Watch::new(gate, listener, Event::readable(key))
 }
 
 /// Runs a controller until it is killed.
 pub fn serve(settings: Settings, tunables: Tunables) -> io::Result<()> {
-    let poller = Arc::new(Poller::new()?);
-    let common = Common {
-        poller: poller.clone(),
-        next_key: FIRST_KEY,
-        start: Instant::now(),
-        inputs: VecDeque::new(),
-    };
-    let front = listen(&poller, settings.front, FRONT)?;
-    let mesh_listener = listen(&poller, settings.mesh, MESH)?;
+    let gate = Arc::new(Gate::new()?);
+    let common =
+        Common { gate: gate.clone(), next_key: FIRST_KEY, start: Instant::now(), inputs: VecDeque::new() };
+    let front = listen(&gate, settings.front, FRONT)?;
+    let mesh_listener = listen(&gate, settings.mesh, MESH)?;
     // Sockets for our own calls are kept free.
     let spare = 100 + settings.quota.max_connections / 10;
     let most = settings.quota.max_connections.saturating_sub(spare).max(50);
@@ -128,7 +124,7 @@
             let now = self.common.now();
             let wait = TICK_MS.saturating_sub(now.since(ticked)).max(1);
             events.clear();
-            match self.common.poller.wait(&mut events, Some(Duration::from_millis(wait))) {
+            match self.common.gate.wait(&mut events, Duration::from_millis(wait)) {
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
@@ -146,26 +142,44 @@
             let now = self.common.now();
             if now.since(ticked) >= TICK_MS {
                 ticked = now;
+                let started = self.timings.start();
                 self.clients.expire(&mut self.common);
                 self.servers.expire(&mut self.common);
-                self.timings.show(now);
+                self.timings.stop("transport-housekeeping", started);
+                self.timings.show(now, &self.common.gate.calls);
                 self.common.inputs.push_back(Input::Tick);
                 self.drain();
             }
         }
     }
 
+    /// Reads and parses what a socket has for us.
     fn event(&mut self, event: Event) {
-        match event.key {
-            FRONT => self.accept_front(),
-            MESH => self.accept_mesh(),
+        let started = self.timings.start();
+        let kind = match event.key {
+            FRONT => {
+                self.accept_front();
+                "transport-accept"
+            }
+            MESH => {
+                self.accept_mesh();
+                "transport-accept"
+            }
             key if self.servers.has(key) => {
                 let ready = self.node().ready();
                 self.servers.event(&mut self.common, key, ready);
+                "transport-request"
             }
-            key if self.clients.has(key) => self.clients.event(&mut self.common, key),
-            key => self.mesh.event(&mut self.common, key),
-        }
+            key if self.clients.has(key) => {
+                self.clients.event(&mut self.common, key);
+                "transport-answer"
+            }
+            key => {
+                self.mesh.event(&mut self.common, key);
+                "transport-mesh"
+            }
+        };
+        self.timings.stop(kind, started);
     }
 
     fn accept_front(&mut self) {
@@ -212,9 +226,12 @@
         self.carry_out(outputs);
     }
 
+    /// Writes what the node decided.
     fn carry_out(&mut self, outputs: Vec<Output>) {
         for output in outputs {
+            let started = self.timings.start();
             self.carry_out_one(output);
+            self.timings.stop("transport-write", started);
         }
     }
 
--- a/src/transport/poll.rs
+++ b/src/transport/poll.rs
@@ -4,30 +4,65 @@
 //! promise: it owns the socket and unregisters it when it is dropped.
 #![allow(unsafe_code)]
 
-use std::io;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
 use std::os::fd::AsFd;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use polling::{Event, Poller};
 
+/// System calls since they were last shown, by kind.
+#[derive(Debug, Default)]
+pub struct Calls {
+    pub waits: AtomicU64,
+    pub reads: AtomicU64,
+    pub writes: AtomicU64,
+    pub registrations: AtomicU64,
+}
+
+/// One more.
+fn count(calls: &AtomicU64) {
+    calls.fetch_add(1, Ordering::Relaxed);
+}
+
+/// The poller, and how often the kernel was asked for something.
+pub struct Gate {
+    poller: Poller,
+    pub calls: Calls,
+}
+
+impl Gate {
+    pub fn new() -> io::Result<Gate> {
+        Ok(Gate { poller: Poller::new()?, calls: Calls::default() })
+    }
+
+    pub fn wait(&self, events: &mut polling::Events, timeout: std::time::Duration) -> io::Result<usize> {
+        count(&self.calls.waits);
+        self.poller.wait(events, Some(timeout))
+    }
+}
+
 /// A registered socket.
 pub struct Watch<S: AsFd> {
-    poller: Arc<Poller>,
+    gate: Arc<Gate>,
     source: S,
     key: usize,
 }
 
 impl<S: AsFd> Watch<S> {
-    pub fn new(poller: &Arc<Poller>, source: S, interest: Event) -> io::Result<Watch<S>> {
+    pub fn new(gate: &Arc<Gate>, source: S, interest: Event) -> io::Result<Watch<S>> {
         // SAFETY: `Watch` owns the source and deletes it from the poller in `drop`,
         // before the source itself is closed.
-        unsafe { poller.add(&source.as_fd(), interest)? };
-        Ok(Watch { poller: poller.clone(), source, key: interest.key })
+        unsafe { gate.poller.add(&source.as_fd(), interest)? };
+        count(&gate.calls.registrations);
+        Ok(Watch { gate: gate.clone(), source, key: interest.key })
     }
 
     /// Registrations are one-shot: every wait needs a new interest.
     pub fn want(&self, readable: bool, writable: bool) -> io::Result<()> {
-        self.poller.modify(self.source.as_fd(), Event::new(self.key, readable, writable))
+        count(&self.gate.calls.registrations);
+        self.gate.poller.modify(self.source.as_fd(), Event::new(self.key, readable, writable))
     }
 
     pub fn source(&self) -> &S {
@@ -35,9 +70,21 @@
     }
 }
 
+impl Watch<TcpStream> {
+    pub fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        count(&self.gate.calls.reads);
+        (&self.source).read(buffer)
+    }
+
+    pub fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        count(&self.gate.calls.writes);
+        (&self.source).write(bytes)
+    }
+}
+
 impl<S: AsFd> Drop for Watch<S> {
     fn drop(&mut self) {
         // A socket that cannot be removed is closed right after anyway.
-        let _ = self.poller.delete(self.source.as_fd());
+        let _ = self.gate.poller.delete(self.source.as_fd());
     }
 }
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -75,7 +75,7 @@
             self.drop_idlest();
         }
         let key = common.key();
-        if let Ok(stream) = Stream::accepted(&common.poller, socket, key) {
+        if let Ok(stream) = Stream::accepted(&common.gate, socket, key) {
             let active = common.now();
             let server = Server {
                 stream,
--- a/src/transport/stream.rs
+++ b/src/transport/stream.rs
@@ -1,13 +1,13 @@
 //! A non-blocking TCP connection with bounded buffers.
 
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 
-use polling::{Event, Poller};
+use polling::Event;
 use socket2::{Domain, Protocol, Socket, Type};
 
-use super::poll::Watch;
+use super::poll::{Gate, Watch};
 
 const READ_CHUNK: usize = 16 * 1024;
 /// An idle connection keeps no more than this for each direction.
@@ -29,15 +29,15 @@
 }
 
 impl Stream {
-    pub fn accepted(poller: &Arc<Poller>, socket: TcpStream, key: usize) -> io::Result<Stream> {
+    pub fn accepted(gate: &Arc<Gate>, socket: TcpStream, key: usize) -> io::Result<Stream> {
         socket.set_nonblocking(true)?;
         // Small answers must not wait for one another.
         socket.set_nodelay(true)?;
-        let watch = Watch::new(poller, socket, Event::readable(key))?;
+        let watch = Watch::new(gate, socket, Event::readable(key))?;
         Ok(Stream::new(watch, false))
     }
 
-    pub fn connect(poller: &Arc<Poller>, addr: SocketAddr, key: usize) -> io::Result<Stream> {
+    pub fn connect(gate: &Arc<Gate>, addr: SocketAddr, key: usize) -> io::Result<Stream> {
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
@@ -48,7 +48,7 @@
                 return Err(error);
             }
         }
-        let watch = Watch::new(poller, socket.into(), Event::writable(key))?;
+        let watch = Watch::new(gate, socket.into(), Event::writable(key))?;
         Ok(Stream::new(watch, true))
     }
 
@@ -80,7 +80,7 @@
         let mut chunk = [0; READ_CHUNK];
         while self.input.len() < most {
             let wanted = READ_CHUNK.min(most - self.input.len());
-            match self.watch.source().read(&mut chunk[..wanted]) {
+            match self.watch.read(&mut chunk[..wanted]) {
                 Ok(0) => return Flow::Closed,
                 Ok(n) => {
                     self.input.extend_from_slice(&chunk[..n]);
@@ -108,7 +108,7 @@
             self.connecting = false;
         }
         while self.pending() > 0 {
-            match self.watch.source().write(&self.output[self.written..]) {
+            match self.watch.write(&self.output[self.written..]) {
                 Ok(0) => return Flow::Closed,
                 Ok(n) => self.written += n,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Open,
