--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -95,6 +95,13 @@
         self.ledger.loaded && !self.mirror.kinds.is_empty() && !alone
     }
 
+    /// It follows a leader and nobody waits for it: what is due can wait a little.
+    pub fn quiet(&self) -> bool {
+        let leads = self.leader.is_some() || self.taking_over.is_some();
+        let follows = !leads && self.ledger.loaded && self.mirror.leader.is_some();
+        follows && self.users.held() == 0 && self.now >= self.peers.favoured_until
+    }
+
     /// What only a leader has.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -62,7 +62,8 @@
         !self.waiting.is_empty()
     }
 
-    fn held(&self) -> usize {
+    /// Requests that wait for an answer and have not been sent to the state service.
+    pub fn held(&self) -> usize {
         self.waiting.len() + self.queued.len()
     }
 
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -28,6 +28,8 @@
 }
 
 const IDLE_MS: u64 = 20_000;
+/// Idle connections are looked for that often, as there are hundreds of them.
+const CHECK_EVERY_MS: u64 = 1_000;
 const LARGEST_INPUT: usize = 17 * 1024 * 1024;
 
 struct Client {
@@ -49,6 +51,7 @@
     pools: HashMap<Target, Pool>,
     asks: HashMap<AskId, (Target, Option<usize>)>,
     deadlines: BTreeSet<(Millis, AskId)>,
+    checked: Millis,
     state: SocketAddr,
     cloud: SocketAddr,
 }
@@ -60,6 +63,7 @@
             pools: HashMap::new(),
             asks: HashMap::new(),
             deadlines: BTreeSet::new(),
+            checked: Millis::default(),
             state,
             cloud,
         }
@@ -257,6 +261,10 @@
                 None => {}
             }
         }
+        if now.since(self.checked) < CHECK_EVERY_MS {
+            return;
+        }
+        self.checked = now;
         let idle = |client: &Client| client.ask.is_none() && now.since(client.active) > IDLE_MS;
         let stale: Vec<usize> =
             self.open.iter().filter(|(_, client)| idle(client)).map(|(key, _)| *key).collect();
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -32,8 +32,10 @@
 const FRONT: usize = 0;
 const MESH: usize = 1;
 const FIRST_KEY: usize = 2;
-/// Without events the node is asked that often what is due.
+/// Without events the node is asked that often what is due; less often while nobody waits
+/// for it, as waking up was half of what a follower did.
 const TICK_MS: u64 = 50;
+const QUIET_TICK_MS: u64 = 200;
 const EVENTS: usize = 256;
 /// So many events that came together share one step of the node, and wait for no more
 /// than that many others.
@@ -122,7 +124,8 @@
         let mut ticked = Millis::default();
         loop {
             let now = self.common.now();
-            let wait = TICK_MS.saturating_sub(now.since(ticked)).max(1);
+            let tick_ms = if self.node().quiet() { QUIET_TICK_MS } else { TICK_MS };
+            let wait = tick_ms.saturating_sub(now.since(ticked)).max(1);
             events.clear();
             match self.common.gate.wait(&mut events, Duration::from_millis(wait)) {
                 Ok(_) => {}
@@ -140,7 +143,7 @@
             }
             self.drain();
             let now = self.common.now();
-            if now.since(ticked) >= TICK_MS {
+            if now.since(ticked) >= tick_ms {
                 ticked = now;
                 let started = self.timings.start();
                 self.clients.expire(&mut self.common);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -562,6 +562,10 @@
             ["leaders", op, right] => {
                 compare(self.nodes.iter().filter(|slot| slot.leads()).count() as u64, op, right)
             }
+            ["quiet", op, right] => {
+                let quiet = |slot: &&Slot| slot.node.as_ref().is_some_and(Node::quiet);
+                compare(self.nodes.iter().filter(quiet).count() as u64, op, right)
+            }
             ["ready", node] => {
                 let slot = self.nodes.iter().find(|slot| slot.name == *node).expect("a node");
                 slot.node.as_ref().is_some_and(Node::ready)
