An answer that is more than a controller may hold is not asked for again

A tenth of the settings' memory is what one answer may take, as it is held three times while it is read: 17 MB were allowed on 53. Changes beyond that would be as many the next time, so the records are read anew, in pages; the scenario hangs without this.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -466,7 +466,7 @@
         let verdict = match outcome {
             Outcome::Response { status: 200, .. } => DirectOutcome::Executed,
             Outcome::Response { .. } | Outcome::NotSent => DirectOutcome::Refused,
-            Outcome::Unknown => DirectOutcome::Unknown,
+            Outcome::Unknown | Outcome::TooLong => DirectOutcome::Unknown,
         };
         if let Outcome::Response { body, .. } = outcome
             && let Some(report) = read_report(body)
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -142,7 +142,7 @@
     pub fn read_reply(&self, outcome: &Outcome) -> CloudReply {
         match outcome {
             Outcome::NotSent => CloudReply::Refused { status: 503 },
-            Outcome::Unknown => CloudReply::Unknown,
+            Outcome::Unknown | Outcome::TooLong => CloudReply::Unknown,
             Outcome::Response { status: 200, body } => self.read_ok(body).unwrap_or(CloudReply::Unknown),
             Outcome::Response { status: 503, body }
                 if String::from_utf8_lossy(body).contains("no capacity") =>
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -73,4 +73,6 @@
     NotSent,
     /// No response: it may have been carried out, or may be later.
     Unknown,
+    /// A response that is more than may be held: it may have been carried out.
+    TooLong,
 }
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -183,7 +183,9 @@
     pub fn read_reply(&self, outcome: &Outcome) -> StateReply {
         let (status, body) = match outcome {
             Outcome::NotSent => return StateReply::Refused { status: 503 },
-            Outcome::Unknown => return StateReply::Unknown,
+            // Asked again, the changes would be as many: the records are read anew, in pages.
+            Outcome::TooLong if matches!(self, StateRequest::Changes { .. }) => return StateReply::Compacted,
+            Outcome::Unknown | Outcome::TooLong => return StateReply::Unknown,
             Outcome::Response { status, body } => (*status, body),
         };
         match status {
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -30,7 +30,11 @@
 const IDLE_MS: u64 = 20_000;
 /// Idle connections are looked for that often, as there are hundreds of them.
 const CHECK_EVERY_MS: u64 = 1_000;
-const LARGEST_INPUT: usize = 17 * 1024 * 1024;
+/// The part of the settings' memory that one answer may take: it is held three times while
+/// it is read. Pages of the state service and the cloud's lists are far smaller.
+const ANSWER_SHARE: f64 = 0.1;
+/// Room for an answer's head and chunks.
+const HEAD_ROOM: usize = 1024 * 1024;
 
 struct Client {
     stream: Stream,
@@ -54,10 +58,12 @@
     checked: Millis,
     state: SocketAddr,
     cloud: SocketAddr,
+    most_answer: usize,
 }
 
 impl Clients {
-    pub fn new(state: SocketAddr, cloud: SocketAddr) -> Clients {
+    /// On a machine with so much memory.
+    pub fn new(state: SocketAddr, cloud: SocketAddr, mem_mb: f64) -> Clients {
         Clients {
             open: HashMap::new(),
             pools: HashMap::new(),
@@ -66,6 +72,7 @@
             checked: Millis::default(),
             state,
             cloud,
+            most_answer: ((mem_mb * ANSWER_SHARE) as usize).max(1) * 1024 * 1024,
         }
     }
 
@@ -196,8 +203,8 @@
             self.push(common, key);
             return;
         }
-        let read = client.stream.fill(LARGEST_INPUT);
-        match parse_response(&client.stream.input) {
+        let read = client.stream.fill(self.most_answer + HEAD_ROOM);
+        match parse_response(&client.stream.input, self.most_answer) {
             Parsed::Whole(response, taken) if client.ask.is_some() => {
                 client.stream.take_input(taken);
                 let ask = client.ask.take();
@@ -215,6 +222,13 @@
                 self.advance(common, target);
             }
             Parsed::Partial if read == Flow::Open => self.push(common, key),
+            Parsed::TooLong => {
+                let ask = client.ask.take();
+                if let Some(ask) = ask {
+                    self.finish(common, ask, Outcome::TooLong);
+                }
+                self.close(common, key);
+            }
             // Closed, garbage, or an answer to nothing.
             _ => self.close(common, key),
         }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -4,9 +4,6 @@
 const LONGEST_HEAD: usize = 16 * 1024;
 /// Largest body a request may have.
 pub const LARGEST_BODY: usize = 64 * 1024;
-/// Largest body a response may have; reading all records comes in pages of 512 KiB,
-/// but a response with changes has no limit of its own.
-const LARGEST_RESPONSE: usize = 16 * 1024 * 1024;
 
 #[derive(Debug, PartialEq)]
 pub struct Request {
@@ -28,9 +25,17 @@
 pub enum Parsed<T> {
     Partial,
     Bad,
+    /// More than may be held.
+    TooLong,
     Whole(T, usize),
 }
 
+/// Why a body cannot be taken.
+enum Wrong {
+    Bad,
+    TooLong,
+}
+
 struct Head<'a> {
     first: &'a str,
     length: Option<usize>,
@@ -105,36 +110,36 @@
 }
 
 /// Body and bytes taken, None while incomplete, Err if it can't be right.
-fn body(rest: &[u8], head: &Head<'_>, most: usize) -> Result<Option<(Vec<u8>, usize)>, ()> {
+fn body(rest: &[u8], head: &Head<'_>, most: usize) -> Result<Option<(Vec<u8>, usize)>, Wrong> {
     if head.chunked {
-        return if head.length.is_some() { Err(()) } else { chunks(rest, most) };
+        return if head.length.is_some() { Err(Wrong::Bad) } else { chunks(rest, most) };
     }
     let length = head.length.unwrap_or(0);
     if length > most {
-        return Err(());
+        return Err(Wrong::TooLong);
     }
     Ok(rest.get(..length).map(|body| (body.to_vec(), length)))
 }
 
-fn chunks(rest: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, ()> {
+fn chunks(rest: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, Wrong> {
     let mut body = Vec::new();
     let mut at = 0;
     loop {
         let Some(line) = find(&rest[at..], b"\r\n") else {
-            return if rest.len() - at > 64 { Err(()) } else { Ok(None) };
+            return if rest.len() - at > 64 { Err(Wrong::Bad) } else { Ok(None) };
         };
-        let text = std::str::from_utf8(&rest[at..at + line]).map_err(|_| ())?;
+        let text = std::str::from_utf8(&rest[at..at + line]).map_err(|_| Wrong::Bad)?;
         let size = text.split(';').next().unwrap_or("").trim();
-        let size = usize::from_str_radix(size, 16).map_err(|_| ())?;
+        let size = usize::from_str_radix(size, 16).map_err(|_| Wrong::Bad)?;
         if size > most || body.len() + size > most {
-            return Err(());
+            return Err(Wrong::TooLong);
         }
         let start = at + line + 2;
         let Some(chunk) = rest.get(start..start + size + 2) else {
             return Ok(None);
         };
         if !chunk.ends_with(b"\r\n") {
-            return Err(());
+            return Err(Wrong::Bad);
         }
         at = start + size + 2;
         if size == 0 {
@@ -161,7 +166,7 @@
         return Parsed::Bad;
     }
     match body(&buffer[head.end..], &head, LARGEST_BODY) {
-        Err(()) => Parsed::Bad,
+        Err(_) => Parsed::Bad,
         Ok(None) => Parsed::Partial,
         Ok(Some((body, taken))) => {
             let keep_alive = !head.close && (version == "HTTP/1.1" || head.keep);
@@ -171,7 +176,8 @@
     }
 }
 
-pub fn parse_response(buffer: &[u8]) -> Parsed<Response> {
+/// A response whose body may have so many bytes.
+pub fn parse_response(buffer: &[u8], most: usize) -> Parsed<Response> {
     let head = match head(buffer) {
         HeadParsed::Partial => return Parsed::Partial,
         HeadParsed::Bad => return Parsed::Bad,
@@ -183,8 +189,9 @@
     let Some(status) = status.filter(|_| version.starts_with("HTTP/1.")) else {
         return Parsed::Bad;
     };
-    match body(&buffer[head.end..], &head, LARGEST_RESPONSE) {
-        Err(()) => Parsed::Bad,
+    match body(&buffer[head.end..], &head, most) {
+        Err(Wrong::Bad) => Parsed::Bad,
+        Err(Wrong::TooLong) => Parsed::TooLong,
         Ok(None) => Parsed::Partial,
         Ok(Some((body, taken))) => {
             let response = Response { status, body, keep_alive: !head.close };
@@ -259,10 +266,11 @@
     fn chunked_bodies_are_read() {
         let text =
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
-        let Parsed::Whole(response, taken) = parse_response(text) else {
+        let Parsed::Whole(response, taken) = parse_response(text, 100) else {
             panic!("not parsed");
         };
         assert_eq!((response.status, response.body.as_slice(), taken), (200, &b"abcde"[..], text.len()));
+        assert_eq!(parse_response(text, 4), Parsed::TooLong);
     }
 
     #[test]
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -100,7 +100,7 @@
     log::info!("serving users and workers on {}, controllers on {}", settings.front, settings.mesh);
     let mut runtime = Runtime {
         servers: Servers::new(most, settings.quota.mem_mb),
-        clients: Clients::new(settings.state, settings.cloud),
+        clients: Clients::new(settings.state, settings.cloud, settings.quota.mem_mb),
         mesh: Mesh::new(&settings),
         timings: Timings::default(),
         node: Mutex::new(Node::new(settings, tunables, seed, clock)),
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -181,7 +181,7 @@
                     return;
                 }
                 Parsed::Partial => return,
-                Parsed::Bad => None,
+                Parsed::Bad | Parsed::TooLong => None,
                 Parsed::Whole(request, taken) => {
                     server.stream.take_input(taken);
                     Some(request)
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -58,6 +58,8 @@
     broken: Vec<String>,
     zone_cuts: HashSet<(String, String)>,
     lost_direct: bool,
+    /// Answers with changes are longer than a controller may hold.
+    long_changes: bool,
     held_direct: Vec<(usize, Vec<u8>)>,
     /// What becomes of transactions while their answers are lost.
     txns: Txns,
@@ -121,6 +123,7 @@
             broken: Vec::new(),
             zone_cuts: HashSet::new(),
             lost_direct: false,
+            long_changes: false,
             held_direct: Vec::new(),
             txns: Txns::Fine,
             held_txns: Vec::new(),
@@ -182,6 +185,7 @@
                     }
                     let (status, body) = self.state.call(call.method, &call.path, &call.body, self.now);
                     match mode {
+                        _ if self.long_changes && call.path.starts_with("/changes") => Outcome::TooLong,
                         Txns::Lost => Outcome::Unknown,
                         _ => Outcome::Response { status, body: body.to_string().into_bytes() },
                     }
@@ -746,6 +750,7 @@
                 worker.changed = true;
             }
             ["take", host] => self.cloud.machines.retain(|machine| machine.name != *host),
+            ["changes", length] => self.long_changes = *length == "long",
             ["direct", "lost"] => self.lost_direct = true,
             ["direct", "fine"] => self.lost_direct = false,
             ["txns", mode] => {
