Serve the lease, users and new connections before workers, 16 of those a turn

Replaces the look at the state service between turns. With 600 workers ready at once everything else waited for all of them. Workers still get 16 a turn however many users there are.

--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -80,6 +80,10 @@
         self.open.contains_key(&key)
     }
 
+    pub fn is_worker(&self, key: usize) -> bool {
+        self.open.get(&key).is_some_and(|client| matches!(client.target, Target::Worker(_)))
+    }
+
     pub fn ask_state(&mut self, common: &mut Common, ask: AskId, call: Call, timeout_ms: u64) {
         self.ask(common, Target::State, ask, call, timeout_ms);
     }
@@ -181,18 +185,6 @@
         }
     }
 
-    /// What the state service has answered meanwhile is taken in before whatever else waits.
-    pub fn look_at_state(&mut self, common: &mut Common) {
-        let asked = self.asks.values().filter(|(target, _)| *target == Target::State);
-        let keys: Vec<usize> = asked.filter_map(|(_, key)| *key).collect();
-        let before = common.inputs.len();
-        for key in keys {
-            self.event(common, key);
-        }
-        let fresh = common.inputs.len() - before;
-        common.inputs.rotate_right(fresh);
-    }
-
     pub fn event(&mut self, common: &mut Common, key: usize) {
         let Some(client) = self.open.get_mut(&key) else {
             return;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -37,9 +37,8 @@
 const TICK_MS: u64 = 50;
 const QUIET_TICK_MS: u64 = 200;
 const EVENTS: usize = 256;
-/// So many events that came together share one step of the node, and wait for no more
-/// than that many others.
-const STEP_INPUTS: usize = 16;
+/// So many workers are served before others' events are looked for again.
+const TURN: usize = 16;
 
 /// What the transport's parts share.
 pub struct Common {
@@ -121,11 +120,13 @@
     fn run(&mut self) -> io::Result<()> {
         let capacity = NonZeroUsize::new(EVENTS).unwrap_or(NonZeroUsize::MIN);
         let mut events = Events::with_capacity(capacity);
+        let mut later: VecDeque<Event> = VecDeque::new();
         let mut ticked = Millis::default();
         loop {
             let now = self.common.now();
             let tick_ms = if self.node().quiet() { QUIET_TICK_MS } else { TICK_MS };
-            let wait = tick_ms.saturating_sub(now.since(ticked)).max(1);
+            let due = tick_ms.saturating_sub(now.since(ticked)).max(1);
+            let wait = if later.is_empty() { due } else { 0 };
             events.clear();
             match self.common.gate.wait(&mut events, Duration::from_millis(wait)) {
                 Ok(_) => {}
@@ -133,15 +134,17 @@
                 Err(error) => return Err(error),
             }
             for event in events.iter() {
-                self.event(event);
-                // With hundreds of connections ready at once, a renewal's answer came seconds
-                // late and the lead was lost again and again: the lease comes first.
-                if self.common.inputs.len() >= STEP_INPUTS {
-                    self.clients.look_at_state(&mut self.common);
-                    self.drain();
+                if self.can_wait(event.key) {
+                    later.push_back(event);
+                } else {
+                    self.event(event);
                 }
             }
             self.drain();
+            for event in later.drain(..later.len().min(TURN)) {
+                self.event(event);
+            }
+            self.drain();
             let now = self.common.now();
             if now.since(ticked) >= tick_ms {
                 ticked = now;
@@ -156,6 +159,12 @@
         }
     }
 
+    /// Workers are hundreds and patient; the lease and users are not. With all workers ready at
+    /// once a renewal's answer came seconds late, and the lead was lost again and again.
+    fn can_wait(&self, key: usize) -> bool {
+        self.servers.is_worker(key) || self.clients.is_worker(key)
+    }
+
     /// Reads and parses what a socket has for us.
     fn event(&mut self, event: Event) {
         let started = self.timings.start();
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -33,6 +33,8 @@
     call: Option<CallId>,
     keep_alive: bool,
     closing: bool,
+    /// Its last request was a report.
+    worker: bool,
     /// Answered before it was whole: the rest is thrown away, as closing at once could take
     /// the answer from a user who is still sending.
     discard: bool,
@@ -70,6 +72,11 @@
         self.open.contains_key(&key)
     }
 
+    /// Its last request was a report.
+    pub fn is_worker(&self, key: usize) -> bool {
+        self.open.get(&key).is_some_and(|server| server.worker)
+    }
+
     pub fn accept(&mut self, common: &mut Common, socket: TcpStream) {
         if self.open.len() >= self.most {
             self.drop_idlest();
@@ -82,6 +89,7 @@
                 call: None,
                 keep_alive: true,
                 closing: false,
+                worker: false,
                 discard: false,
                 active,
                 held: 0,
@@ -194,7 +202,9 @@
                 return;
             };
             server.keep_alive = request.keep_alive;
-            match route(&request) {
+            let routed = route(&request);
+            server.worker = matches!(routed, Routed::Report(_));
+            match routed {
                 Routed::Final(answer) => Self::respond(server, &answer),
                 Routed::Ready if ready => Self::respond(server, &Answer::json(200, &"ready")),
                 Routed::Ready => Self::respond(server, &Answer::later("not ready", 1)),
