Tidy: no look at a connection's request while memory is plenty; one way to serve the region in tests

Every event looked three times whether its connection had a report, although that only matters once buffers hold too much. Both loopback tests set up the state service and the cloud alike. Behaviour and assertions are as they were.

--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -130,9 +130,12 @@
 
     /// How much of a request may be held now.
     fn most_input(&self, key: usize) -> usize {
+        if !self.scarce() {
+            return MOST_INPUT;
+        }
         let report = |server: &Server| server.stream.input.starts_with(REPORT);
         let reserved = self.held <= 2 * self.budget && self.open.get(&key).is_some_and(report);
-        if self.scarce() && !reserved { SCARCE } else { MOST_INPUT }
+        if reserved { MOST_INPUT } else { SCARCE }
     }
 
     pub fn event(&mut self, common: &mut Common, key: usize, ready: bool) {
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -141,6 +141,22 @@
     (listener, addr)
 }
 
+/// The state service and the cloud, for as long as the test runs; their addresses.
+fn serve_region(state: Arc<Mutex<State>>, cloud: Arc<Mutex<Cloud>>, start: Instant) -> (String, String) {
+    let now = move || start.elapsed().as_millis() as u64 + 1000;
+    let (state_listener, state_addr) = listener();
+    let (cloud_listener, cloud_addr) = listener();
+    serve(
+        state_listener,
+        Arc::new(move |m: &str, p: &str, b: &[u8]| state.lock().expect("state").call(m, p, b, now())),
+    );
+    serve(
+        cloud_listener,
+        Arc::new(move |m: &str, p: &str, b: &[u8]| cloud.lock().expect("cloud").call(m, p, b, now())),
+    );
+    (state_addr, cloud_addr)
+}
+
 fn free_addr() -> String {
     listener().1
 }
@@ -200,20 +216,10 @@
 #[test]
 fn half_sent_requests_stay_within_the_memory() {
     let start = Instant::now();
-    let now = move || start.elapsed().as_millis() as u64 + 1000;
     let state = Arc::new(Mutex::new(State::default()));
     let cloud = Arc::new(Mutex::new(Cloud::default()));
     cloud.lock().expect("cloud").kinds.push(small());
-    let (state_listener, state_addr) = listener();
-    let (cloud_listener, cloud_addr) = listener();
-    serve(
-        state_listener,
-        Arc::new(move |m: &str, p: &str, b: &[u8]| state.lock().expect("state").call(m, p, b, now())),
-    );
-    serve(
-        cloud_listener,
-        Arc::new(move |m: &str, p: &str, b: &[u8]| cloud.lock().expect("cloud").call(m, p, b, now())),
-    );
+    let (state_addr, cloud_addr) = serve_region(state, cloud, start);
     let front = free_addr();
     let settings = json!({"node": "n0", "zone": "a", "front": front, "mesh_addr": free_addr(), "others": [],
         "endpoints": {"cloud": cloud_addr, "state": state_addr},
@@ -281,7 +287,6 @@
 #[test]
 fn real_processes_survive_the_leaders_death() {
     let start = Instant::now();
-    let now = move || start.elapsed().as_millis() as u64 + 1000;
     let state = Arc::new(Mutex::new(State::default()));
     let kind = small();
     let mut cloud = Cloud::default();
@@ -291,17 +296,7 @@
     }
     let rented: Vec<Worker> = cloud.machines.iter().map(|m| Worker::new(m, kind.clone(), 1000)).collect();
     let cloud = Arc::new(Mutex::new(cloud));
-    let (state_listener, state_addr) = listener();
-    let (cloud_listener, cloud_addr) = listener();
-    let book = state.clone();
-    serve(
-        state_listener,
-        Arc::new(move |m: &str, p: &str, b: &[u8]| book.lock().expect("state").call(m, p, b, now())),
-    );
-    serve(
-        cloud_listener,
-        Arc::new(move |m: &str, p: &str, b: &[u8]| cloud.lock().expect("cloud").call(m, p, b, now())),
-    );
+    let (state_addr, cloud_addr) = serve_region(state.clone(), cloud, start);
 
     let fronts: Vec<String> = (0..3).map(|_| free_addr()).collect();
     let meshes: Vec<String> = (0..3).map(|_| free_addr()).collect();
