--- a/src/transport/stream.rs
+++ b/crates/net/src/stream.rs
@@ -7,7 +7,7 @@
 use polling::Event;
 use socket2::{Domain, Protocol, Socket, Type};
 
-use super::poll::{Gate, Watch};
+use crate::poll::{Gate, Watch};
 
 const READ_CHUNK: usize = 16 * 1024;
 /// An idle connection keeps no more than this for each direction.
--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::bits::Bits;
-use super::ids::{
+use crate::ids::{
     Amount, ClassIx, ImageIx, JobId, KindIx, Names, Revision, TeamIx, ZoneIx, milli_up, seconds,
 };
 use crate::protocol::users::{JobSpec, Shape, Urgency};
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::bits::Bits;
-use super::ids::{JobId, JobIx, Revision};
 use super::jobs::{End, Job, JobInfo, Registry};
 use super::records::{
     BookingRecord, EndRecord, FinishedRecord, JobRecord, Key, LeaderRecord, LogRecord, MachineRecord,
 };
+use crate::ids::{JobId, JobIx, Revision};
 use crate::protocol::cloud::CatalogEntry;
 use crate::protocol::state::Pair;
 
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,7 +1,6 @@
 //! What is remembered: jobs, machines, and the durable records behind them.
 
 pub mod bits;
-pub mod ids;
 pub mod jobs;
 pub mod mirror;
 pub mod records;
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ids::{Attempt, JobId, TaskRef};
 use super::jobs::End;
+use crate::ids::{Attempt, JobId, TaskRef};
 use crate::protocol::users::JobSpec;
 
 /// Every key of the service begins so.
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -1,6 +1,6 @@
 //! How many requests a second may go out.
 
-use crate::bookkeeping::ids::Millis;
+use crate::ids::Millis;
 
 /// A token bucket that holds one second's worth.
 #[derive(Debug, Clone)]
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/machines/fleet.rs
@@ -2,13 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::plan::{MachineSet, PAID_MS};
-use super::{Leader, Life, Work};
-use crate::bookkeeping::ids::{KindIx, MachineIx, Millis, Token, ZoneIx};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{BookingRecord, Key};
 use crate::coordination::budget::Budget;
+use crate::coordination::leader::machines::plan::{MachineSet, PAID_MS};
+use crate::coordination::leader::{Leader, Life, Work};
 use crate::coordination::{AskId, Clock, Output};
+use crate::ids::{KindIx, MachineIx, Millis, Token, ZoneIx};
 use crate::protocol::Outcome;
 use crate::protocol::cloud::{CloudReply, CloudRequest, Listed, ListedState, RELEASE_MOST};
 
--- a/src/coordination/leader/orders.rs
+++ b/src/coordination/leader/machines/orders.rs
@@ -1,8 +1,8 @@
 //! Commands to workers: in the response to a report, or straight to the worker.
 
-use super::{Leader, Life, Run};
-use crate::bookkeeping::ids::{Attempt, MachineIx, Session, TaskRef};
 use crate::coordination::Clock;
+use crate::coordination::leader::{Leader, Life, Run};
+use crate::ids::{Attempt, MachineIx, Session, TaskRef};
 use crate::protocol::workers::Order;
 
 /// A halt is repeated after this while its task is still shown.
--- a/src/coordination/leader/plan.rs
+++ b/src/coordination/leader/machines/plan.rs
@@ -6,11 +6,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::fleet::Offer;
-use super::{Kind, Leader, Life, Work};
-use crate::bookkeeping::ids::{JobIx, MachineIx, ZoneIx};
 use crate::bookkeeping::mirror::Mirror;
 use crate::coordination::Clock;
+use crate::coordination::leader::machines::fleet::Offer;
+use crate::coordination::leader::{Kind, Leader, Life, Work};
+use crate::ids::{JobIx, MachineIx, ZoneIx};
 use crate::protocol::cloud::RENT_MOST;
 
 /// Never plan for less than that, however late a job is already.
@@ -127,7 +127,7 @@
     }
 
     /// CPU milliseconds that a task still needs, as far as can be told.
-    pub fn left_cpu_ms(&self, binding: &super::Binding, clock: Clock) -> u64 {
+    pub fn left_cpu_ms(&self, binding: &crate::coordination::leader::Binding, clock: Clock) -> u64 {
         let Some(work) = binding.job.and_then(|job| self.work.get(&job)) else { return 0 };
         let ran = binding.running_since.map_or(0, |since| clock.now.since(since));
         binding.need.cpu * work.length_ms().saturating_sub(ran).max(1000) / 1000
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashSet;
 
-use super::{Binding, Leader, Life, Run};
-use crate::bookkeeping::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
 use crate::bookkeeping::mirror::Mirror;
 use crate::coordination::Clock;
+use crate::coordination::leader::{Binding, Leader, Life, Run};
+use crate::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{ExitCause, Order, Piece, Report, TaskState};
 
--- a/src/coordination/leader/roster.rs
+++ b/src/coordination/leader/machines/roster.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-use crate::bookkeeping::ids::{MachineIx, Millis};
+use crate::ids::{MachineIx, Millis};
 
 #[derive(Debug, Default)]
 pub struct Roster {
--- a/src/coordination/leader/silence.rs
+++ b/src/coordination/leader/machines/silence.rs
@@ -1,9 +1,9 @@
 //! Machines that are not heard from: when are they certainly empty, and what to do until then.
 
-use super::{Leader, Life, Machine};
-use crate::bookkeeping::ids::{MachineIx, Millis};
 use crate::coordination::Clock;
+use crate::coordination::leader::{Leader, Life, Machine};
 use crate::coordination::leadership::slack_ms;
+use crate::ids::{MachineIx, Millis};
 
 /// After a takeover, workers need that long to find the new leader.
 const FIND_US_MS: u64 = 6_000;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,22 +1,11 @@
 //! What only the leader knows and does: all machine queues, placement, the
 //! fleet, and the records that make it safe.
 
-pub mod bindings;
-pub mod dispatch;
-pub mod fleet;
-pub mod gangs;
-pub mod history;
-pub mod inherit;
-pub mod orders;
-pub mod plan;
-pub mod queues;
-pub mod reports;
-pub mod roster;
-pub mod silence;
+pub mod machines;
+pub mod placement;
+pub mod records;
 pub mod status;
-pub mod teams;
 pub mod withdraw;
-pub mod writer;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -26,21 +15,22 @@
 
 use super::Clock;
 use crate::bookkeeping::bits::Bits;
-use crate::bookkeeping::ids::{
-    Amount, Attempt, ClassIx, ImageIx, JobId, JobIx, KindIx, MachineIx, Millis, Session, TaskRef, TeamIx,
-    Token, ZoneIx, milli_down,
-};
 use crate::bookkeeping::jobs::JobInfo;
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::most_tasks;
+use crate::ids::{
+    Amount, Attempt, ClassIx, ImageIx, JobId, JobIx, KindIx, MachineIx, Millis, Session, TaskRef, TeamIx,
+    Token, ZoneIx, milli_down,
+};
 use crate::protocol::workers::TaskState;
 use crate::settings::{Settings, Team};
 use crate::tunables::Tunables;
-use fleet::Fleet;
-use history::{History, PartId};
-use queues::Queue;
-use roster::Roster;
-use writer::Writer;
+use machines::fleet::Fleet;
+use machines::roster::Roster;
+use placement::gangs;
+use placement::queues::{self, Queue};
+use records::history::{History, PartId};
+use records::writer::Writer;
 
 /// How far the run command of a task has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -5,11 +5,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::history::Start;
-use super::queues::Rank;
-use super::{Binding, Leader, Run, Work};
-use crate::bookkeeping::ids::{Amount, Attempt, JobIx, MachineIx, TaskRef};
 use crate::coordination::Clock;
+use crate::coordination::leader::placement::queues::Rank;
+use crate::coordination::leader::records::history::Start;
+use crate::coordination::leader::{Binding, Leader, Run, Work};
+use crate::ids::{Amount, Attempt, JobIx, MachineIx, TaskRef};
 use crate::protocol::users::Urgency;
 
 /// Stealing of one machine within one round of placement.
--- a/src/coordination/leader/gangs.rs
+++ b/src/coordination/leader/placement/gangs.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::queues::Rank;
-use super::{Binding, Leader, Run, Work};
-use crate::bookkeeping::ids::{Amount, JobIx, MachineIx, Millis, ZoneIx};
 use crate::coordination::Clock;
+use crate::coordination::leader::placement::queues::Rank;
+use crate::coordination::leader::{Binding, Leader, Run, Work};
+use crate::ids::{Amount, JobIx, MachineIx, Millis, ZoneIx};
 use crate::protocol::users::Shape;
 
 /// Machines for all tasks, and what the dearest of them costs in milliseconds.
--- /dev/null
+++ b/src/coordination/leader/placement/mod.rs
@@ -0,0 +1,6 @@
+//! Which task goes where: queues, the ordinary path, gangs, teams.
+
+pub mod dispatch;
+pub mod gangs;
+pub mod queues;
+pub mod teams;
--- a/src/coordination/leader/queues.rs
+++ b/src/coordination/leader/placement/queues.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::bookkeeping::ids::{JobIx, Revision};
 use crate::bookkeeping::jobs::JobInfo;
+use crate::ids::{JobIx, Revision};
 use crate::protocol::users::Urgency;
 
 /// Urgent first, then whoever has to start first to meet its aim, then larger images
--- a/src/coordination/leader/teams.rs
+++ b/src/coordination/leader/placement/teams.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use super::{Leader, Work};
-use crate::bookkeeping::ids::{Amount, TeamIx};
+use crate::coordination::leader::{Leader, Work};
+use crate::ids::{Amount, TeamIx};
 
 impl Leader {
     /// Which jobs fit into their teams' guarantees together with what is left of the teams'
--- a/src/coordination/leader/bindings.rs
+++ b/src/coordination/leader/records/bindings.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::history::Start;
-use super::{Binding, Leader, Run};
-use crate::bookkeeping::ids::{ImageIx, JobIx, MachineIx};
 use crate::coordination::Clock;
+use crate::coordination::leader::records::history::Start;
+use crate::coordination::leader::{Binding, Leader, Run};
+use crate::ids::{ImageIx, JobIx, MachineIx};
 
 impl Leader {
     /// A task may be on a machine from now on.
--- a/src/coordination/leader/history.rs
+++ b/src/coordination/leader/records/history.rs
@@ -5,12 +5,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-use super::{Leader, Life, Run};
 use crate::bookkeeping::bits::Bits;
-use crate::bookkeeping::ids::{Attempt, JobId, MachineIx, Millis, TaskRef, Token};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{Key, LogRecord, Place};
 use crate::coordination::Clock;
+use crate::coordination::leader::{Leader, Life, Run};
+use crate::ids::{Attempt, JobId, MachineIx, Millis, TaskRef, Token};
 
 /// A part of the log, numbered in the order of writing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -279,7 +279,7 @@
         }
         let most = (self.settings.state_limits.value_kb * 1024.0) as usize;
         let name = self.history.name(self.token, mirror);
-        let mut record = LogRecord::new(Attempt(self.token.0 << super::ATTEMPTS_BITS));
+        let mut record = LogRecord::new(Attempt(self.token.0 << crate::coordination::leader::ATTEMPTS_BITS));
         let mut told = Told { name: name.clone(), ..Told::default() };
         self.tell_machines(mirror, &mut record, &mut told, most);
         self.tell_finished(&mut record, &mut told, most);
@@ -360,7 +360,9 @@
         let id = self.history.add_part(Key::Log(told.name));
         for start in told.starts {
             let machine = &mut self.machines[start.machine.at()];
-            let here = |b: &&mut super::Binding| b.task == start.task && b.attempt == start.attempt;
+            let here = |b: &&mut crate::coordination::leader::Binding| {
+                b.task == start.task && b.attempt == start.attempt
+            };
             let Some(binding) = machine.bindings.iter_mut().find(here) else { continue };
             let before = binding.part.replace(id);
             if binding.run == Run::Planned {
--- a/src/coordination/leader/inherit.rs
+++ b/src/coordination/leader/records/inherit.rs
@@ -1,12 +1,12 @@
 //! What a new leader takes over from the records of earlier ones.
 
-use super::history::{PartId, Start};
-use super::{Binding, Leader, Life, Run, Work};
 use crate::bookkeeping::bits::Bits;
-use crate::bookkeeping::ids::{Attempt, JobId, JobIx, MachineIx, TaskRef};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{Key, Recorded};
 use crate::coordination::Clock;
+use crate::coordination::leader::records::history::{PartId, Start};
+use crate::coordination::leader::{Binding, Leader, Life, Run, Work};
+use crate::ids::{Attempt, JobId, JobIx, MachineIx, TaskRef};
 
 /// A part of an earlier leader's log: its key, its machines, blocks with tasks that finished.
 type OldPart = (Key, Vec<Recorded>, Vec<(JobId, u32)>);
@@ -14,7 +14,7 @@
 impl Leader {
     /// Parts of the log, oldest first, and what they say. Records of the form before the
     /// log count as parts of one machine each.
-    pub(super) fn inherit_machines(&mut self, mirror: &mut Mirror, clock: Clock) {
+    pub(crate) fn inherit_machines(&mut self, mirror: &mut Mirror, clock: Clock) {
         let mut parts: Vec<OldPart> = Vec::new();
         for (name, record) in &mirror.machines {
             parts.push((Key::Machine(name.clone()), vec![record.recorded(name)], Vec::new()));
@@ -109,7 +109,7 @@
         self.history.add_start(part, start, None);
     }
 
-    pub(super) fn inherit_jobs(&mut self, mirror: &Mirror, clock: Clock) {
+    pub(crate) fn inherit_jobs(&mut self, mirror: &Mirror, clock: Clock) {
         let jobs: Vec<JobIx> = mirror.live().map(|(ix, _)| ix).collect();
         for ix in jobs {
             self.add_job(ix, mirror, clock);
--- a/src/coordination/leader/writer.rs
+++ b/src/coordination/leader/records/writer.rs
@@ -3,17 +3,17 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use super::Leader;
-use super::history::{PartId, Told};
 use crate::bookkeeping::bits::Bits;
-use crate::bookkeeping::ids::{JobId, Millis, Revision};
 use crate::bookkeeping::jobs::End;
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{EndRecord, FinishedRecord, Key, LEADER};
 use crate::coordination::Clock;
 use crate::coordination::Output;
+use crate::coordination::leader::Leader;
+use crate::coordination::leader::records::history::{PartId, Told};
 use crate::coordination::ledger::{Answered, Ledger, Purpose};
 use crate::coordination::users::apply_changes;
+use crate::ids::{JobId, Millis, Revision};
 use crate::protocol::cloud::CatalogEntry;
 use crate::protocol::state::{Change, Guard, StateReply};
 
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::{Leader, Life};
-use crate::bookkeeping::ids::{KindIx, Millis, TeamIx};
+use crate::ids::{KindIx, Millis, TeamIx};
 
 const STATUS_EVERY_MS: u64 = 5_000;
 
--- a/src/coordination/leader/withdraw.rs
+++ b/src/coordination/leader/withdraw.rs
@@ -1,9 +1,9 @@
 //! Jobs that their users have withdrawn: everything stops, and in time.
 
 use super::Leader;
-use crate::bookkeeping::ids::{JobId, JobIx, MachineIx, Millis};
 use crate::coordination::Clock;
 use crate::coordination::leadership::MARGIN_MS;
+use crate::ids::{JobId, JobIx, MachineIx, Millis};
 
 impl Leader {
     /// When a worker that still shows a withdrawn job's task must get no more answers,
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -2,9 +2,9 @@
 
 use super::ledger::{Answered, Ledger};
 use super::{Clock, Output};
-use crate::bookkeeping::ids::{LeaseId, Millis, Revision, Token};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{LEADER, LeaderRecord};
+use crate::ids::{LeaseId, Millis, Revision, Token};
 use crate::protocol::state::{Change, Guard, StateReply, StateRequest};
 use crate::settings::WorkerTimes;
 
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -5,9 +5,9 @@
 
 use super::budget::Budget;
 use super::{AskId, Clock, Output};
-use crate::bookkeeping::ids::{Millis, Revision};
 use crate::bookkeeping::mirror::{Mirror, Seen};
 use crate::bookkeeping::records::PREFIX;
+use crate::ids::{Millis, Revision};
 use crate::protocol::Outcome;
 use crate::protocol::state::{Change, Guard, Pair, StateReply, StateRequest};
 use crate::settings::StateLimits;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,7 +9,7 @@
 pub mod peers;
 pub mod users;
 
-use crate::bookkeeping::ids::Millis;
+use crate::ids::Millis;
 use crate::protocol::cloud::CloudRequest;
 use crate::protocol::mesh::MeshMessage;
 use crate::protocol::state::StateRequest;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use super::Output;
-use crate::bookkeeping::ids::Millis;
+use crate::ids::Millis;
 use crate::protocol::mesh::MeshMessage;
 
 const BEAT_MS: u64 = 1000;
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -3,10 +3,10 @@
 
 use super::ledger::{Answered, Ledger, Purpose};
 use super::{CallId, Clock, Output};
-use crate::bookkeeping::ids::{Amount, JobId, Millis, Revision, milli_down};
 use crate::bookkeeping::jobs::{End, need_of};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{EndRecord, JobRecord, Key};
+use crate::ids::{Amount, JobId, Millis, Revision, milli_down};
 use crate::protocol::Answer;
 use crate::protocol::state::{Change, Guard, Pair, StateReply, StateRequest};
 use crate::protocol::users::{JobSpec, JobStatus, Shape, UserRequest, status_answer};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bookkeeping;
 pub mod cli;
 pub mod coordination;
+pub mod ids;
 pub mod logging;
 pub mod protocol;
 pub mod settings;
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -4,7 +4,7 @@
 use serde_json::value::RawValue;
 
 use super::{Call, Outcome, WireError};
-use crate::bookkeeping::ids::{LeaseId, Revision};
+use crate::ids::{LeaseId, Revision};
 
 /// One change of a transaction.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Answer;
-use crate::bookkeeping::ids::{JobId, milli_up, seconds};
+use crate::ids::{JobId, milli_up, seconds};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Shape {
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Answer, Call};
-use crate::bookkeeping::ids::{Attempt, Session, TaskRef, Token};
+use crate::ids::{Attempt, Session, TaskRef, Token};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExitCause {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::bookkeeping::ids::{Amount, milli_down};
+use crate::ids::{Amount, milli_down};
 
 #[derive(Debug, Error)]
 pub enum SettingsError {
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use super::http::{Parsed, parse_response, write_request};
-use super::stream::{Flow, Stream};
 use super::{Common, Keyed};
-use crate::bookkeeping::ids::Millis;
 use crate::coordination::{AskId, Input};
+use crate::ids::Millis;
 use crate::protocol::{Call, Outcome};
+use olivelatch_net::http::{Parsed, parse_response, write_request};
+use olivelatch_net::stream::{Flow, Stream};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Target {
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -3,12 +3,12 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 
-use super::stream::{Flow, Stream};
 use super::{Common, Keyed};
-use crate::bookkeeping::ids::Millis;
 use crate::coordination::Input;
+use crate::ids::Millis;
 use crate::protocol::mesh::{LARGEST_FRAME, MeshMessage, decode, encode};
 use crate::settings::Settings;
+use olivelatch_net::stream::{Flow, Stream};
 
 /// A peer that takes nothing gets no more than this kept for it.
 const MOST_PENDING: usize = 256 * 1024;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,12 +1,9 @@
 //! Sockets, timers and the clock: one thread around `polling`.
 
 mod clients;
-mod http;
 mod mesh;
-mod poll;
 mod router;
 mod servers;
-mod stream;
 mod timings;
 
 use std::collections::{HashMap, VecDeque};
@@ -18,14 +15,14 @@
 
 use polling::{Event, Events};
 
-use crate::bookkeeping::ids::Millis;
 use crate::coordination::node::Node;
 use crate::coordination::{CallId, Clock, Input, Output};
+use crate::ids::Millis;
 use crate::settings::Settings;
 use crate::tunables::Tunables;
 use clients::Clients;
 use mesh::Mesh;
-use poll::{Gate, Watch};
+use olivelatch_net::poll::{Gate, Watch};
 use servers::Servers;
 use timings::Timings;
 
--- a/src/transport/router.rs
+++ b/src/transport/router.rs
@@ -1,10 +1,10 @@
 //! From a request's method and path to what is asked.
 
-use super::http::Request;
-use crate::bookkeeping::ids::JobId;
+use crate::ids::JobId;
 use crate::protocol::Answer;
 use crate::protocol::users::{UserRequest, read_submission};
 use crate::protocol::workers::{Report, read_report};
+use olivelatch_net::http::Request;
 
 pub enum Routed {
     Ready,
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::net::TcpStream;
 
-use super::http::{LARGEST_BODY, Parsed, parse_request, write_response};
 use super::router::{Routed, route};
-use super::stream::{Flow, Stream};
 use super::{Common, Keyed, call_id};
-use crate::bookkeeping::ids::Millis;
 use crate::coordination::{CallId, Input};
+use crate::ids::Millis;
 use crate::protocol::Answer;
+use olivelatch_net::http::{LARGEST_BODY, Parsed, parse_request, write_response};
+use olivelatch_net::stream::{Flow, Stream};
 
 /// A request that is not whole by then, and a connection that says nothing.
 const HALF_SENT_MS: u64 = 10_000;
--- a/src/transport/timings.rs
+++ b/src/transport/timings.rs
@@ -7,8 +7,8 @@
 
 use hdrhistogram::Histogram;
 
-use super::poll::Calls;
-use crate::bookkeeping::ids::Millis;
+use crate::ids::Millis;
+use olivelatch_net::poll::Calls;
 
 const REPORT_EVERY_MS: u64 = 30_000;
 /// Longer than ten seconds counts as ten seconds.
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,6 +1,6 @@
 //! What operators write: good files are taken, bad ones named by place.
 
-use olivelatch::bookkeeping::ids::Amount;
+use olivelatch::ids::Amount;
 use olivelatch::settings::Settings;
 use olivelatch::tunables::Tunables;
 use serde_json::{Value, json};
