--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -215,9 +215,13 @@
     }
 }
 
+pub const JSON: &str = "application/json";
+pub const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 pub fn write_response(
     out: &mut Vec<u8>,
     status: u16,
+    content_type: &str,
     retry_after_s: Option<u32>,
     body: &[u8],
     keep_alive: bool,
@@ -225,7 +229,7 @@
     let retry = retry_after_s.map_or(String::new(), |s| format!("Retry-After: {s}\r\n"));
     let close = if keep_alive { "" } else { "Connection: close\r\n" };
     let head = format!(
-        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n{retry}{close}\r\n",
+        "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n{retry}{close}\r\n",
         reason(status),
         body.len(),
     );
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,13 +1,15 @@
 //! The state service as this controller last saw it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 
 use super::bits::Bits;
 use super::jobs::{End, Job, JobInfo, Registry};
 use super::records::{
-    BookingRecord, EndRecord, FinishedRecord, JobRecord, Key, LeaderRecord, LogRecord, MachineRecord,
+    BookingRecord, EndDetail, EndRecord, FinishedRecord, JobRecord, Key, LeaderRecord, LogRecord,
+    MachineRecord,
 };
-use crate::ids::{JobId, JobIx, Revision};
+use crate::ids::{ClassIx, JobId, JobIx, Revision, TaskRef, TeamIx};
 use crate::protocol::cloud::CatalogEntry;
 use crate::protocol::state::Pair;
 
@@ -39,8 +41,10 @@
     pub bookings: BTreeMap<String, BookingRecord>,
     pub kinds: BTreeMap<String, CatalogEntry>,
     jobs: Vec<Option<Box<Job>>>,
-    index: HashMap<JobId, JobIx>,
-    ended: HashMap<JobId, (End, u64)>,
+    /// In the order of their ids, for lists.
+    index: BTreeMap<JobId, JobIx>,
+    ended: BTreeMap<JobId, (End, u64)>,
+    details: BTreeMap<JobId, Detail>,
     /// Versions of the keys that the leader rewrites.
     stamps: HashMap<String, Revision>,
     /// Keys this node deleted and when, until the changes up to then have been seen.
@@ -49,6 +53,16 @@
     early: HashMap<JobId, Vec<Early>>,
 }
 
+/// What an end tells of its job, if the operators' interface was on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Detail {
+    pub team: TeamIx,
+    pub class: ClassIx,
+    pub tasks: u32,
+    pub accepted_ms: u64,
+    pub first_ms: Option<u64>,
+}
+
 #[derive(Debug)]
 enum Early {
     Block(u32, String),
@@ -81,6 +95,41 @@
         self.ended.get(&id).map(|ended| ended.0)
     }
 
+    /// How and when a job ended, and what is kept of it.
+    pub fn ended(&self, id: JobId) -> Option<(End, u64, Option<Detail>)> {
+        self.ended.get(&id).map(|(end, at)| (*end, *at, self.details.get(&id).copied()))
+    }
+
+    /// Live and ended jobs in the order of their ids, from behind `after` on.
+    pub fn ids_after(&self, after: Option<JobId>) -> impl Iterator<Item = JobId> + '_ {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut live = self.index.range((from, Bound::Unbounded)).map(|(id, _)| *id).peekable();
+        let mut ended = self.ended.range((from, Bound::Unbounded)).map(|(id, _)| *id).peekable();
+        std::iter::from_fn(move || match (live.peek().copied(), ended.peek().copied()) {
+            (Some(a), Some(b)) if a == b => live.next().and(ended.next()),
+            (Some(a), Some(b)) if a < b => live.next(),
+            (_, Some(_)) => ended.next(),
+            (_, None) => live.next(),
+        })
+    }
+
+    /// Jobs with a record, and ends.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.index.len(), self.ended.len())
+    }
+
+    /// What of an ended job is kept for operators.
+    pub fn end_detail(&self, id: JobId, first_ms: Option<u64>) -> Option<EndDetail> {
+        let info = &self.find_job(id)?.info;
+        Some(EndDetail {
+            team: self.names.teams.name_at(info.team.at()).into(),
+            class: self.names.classes.name_at(info.class.at()).into(),
+            tasks: info.tasks,
+            accepted: info.accepted_wall_ms,
+            first: first_ms,
+        })
+    }
+
     /// Jobs whose record still exists, ended ones whose tasks are being cleared included.
     pub fn live(&self) -> impl Iterator<Item = (JobIx, &Job)> {
         self.jobs.iter().enumerate().filter_map(|(at, job)| Some((JobIx(at as u32), job.as_deref()?)))
@@ -149,6 +198,10 @@
             Key::End(id) => {
                 let record: EndRecord = serde_json::from_str(value).ok()?;
                 self.ended.insert(*id, (record.end(), record.at));
+                if let Some(detail) = &record.detail {
+                    let detail = self.detail(detail);
+                    self.details.insert(*id, detail);
+                }
                 if let Some(job) = self.job_mut(*id) {
                     job.end = Some((record.end(), record.at));
                 }
@@ -211,6 +264,16 @@
         None
     }
 
+    fn detail(&mut self, detail: &EndDetail) -> Detail {
+        Detail {
+            team: self.names.teams.intern(&detail.team),
+            class: self.names.classes.intern(&detail.class),
+            tasks: detail.tasks,
+            accepted_ms: detail.accepted,
+            first_ms: detail.first,
+        }
+    }
+
     fn add_job(&mut self, id: JobId, record: &JobRecord, stamp: Revision) -> JobIx {
         if let Some(ix) = self.index.get(&id) {
             return *ix;
@@ -250,6 +313,33 @@
         tasks.dedup();
         tasks.len() as u32
     }
+
+    /// The same for all jobs in one walk over the log.
+    pub fn all_recorded_running(&self) -> BTreeMap<JobId, u32> {
+        let starts = self.log.values().flat_map(LogRecord::starts).map(|(task, _)| task);
+        let open = |task: &TaskRef| self.find_job(task.job).is_some_and(|job| !job.finished.has(task.task));
+        let tasks: BTreeSet<TaskRef> = starts.filter(open).collect();
+        let mut running = BTreeMap::new();
+        for task in tasks {
+            *running.entry(task.job).or_default() += 1;
+        }
+        running
+    }
+
+    /// Where tasks of a job may be, by the records: machine and attempt.
+    pub fn recorded_places(&self, id: JobId) -> BTreeMap<u32, Vec<(String, u64)>> {
+        let mut places: BTreeMap<u32, Vec<(String, u64)>> = BTreeMap::new();
+        for machine in self.log.values().flat_map(LogRecord::machines) {
+            for (task, attempt) in machine.tasks.iter().filter(|(task, _)| task.job == id) {
+                let place = (machine.place.name.clone(), attempt.0);
+                let known = places.entry(task.task).or_default();
+                if !known.contains(&place) {
+                    known.push(place);
+                }
+            }
+        }
+        places
+    }
 }
 
 #[cfg(test)]
@@ -259,7 +349,7 @@
     #[test]
     fn an_end_is_taken_in_once_and_costs_no_version() {
         let mut mirror = Mirror::default();
-        let value = serde_json::to_string(&EndRecord::new(End::Withdrawn, 7)).expect("JSON");
+        let value = serde_json::to_string(&EndRecord::new(End::Withdrawn, 7, None)).expect("JSON");
         for at in 0..1000 {
             let key = Key::End(JobId(at)).text();
             let pair = Pair { key, value: Some(value.clone()), stamp: Revision(at + 1) };
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod bits;
 pub mod jobs;
+pub mod listing;
 pub mod mirror;
 pub mod records;
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -81,19 +81,33 @@
     Withdrawn,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndRecord {
     end: EndWord,
     pub at: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<EndDetail>,
+}
+
+/// What is kept of an ended job for operators, if their interface is on; times of day in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndDetail {
+    pub team: String,
+    pub class: String,
+    pub tasks: u32,
+    pub accepted: u64,
+    /// When the first task ran, as its leader saw it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub first: Option<u64>,
 }
 
 impl EndRecord {
-    pub fn new(end: End, at: u64) -> EndRecord {
+    pub fn new(end: End, at: u64, detail: Option<EndDetail>) -> EndRecord {
         let end = match end {
             End::Done => EndWord::Done,
             End::Withdrawn => EndWord::Withdrawn,
         };
-        EndRecord { end, at }
+        EndRecord { end, at, detail }
     }
 
     pub fn end(&self) -> End {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -53,7 +53,7 @@
             ExitCode::SUCCESS
         }
         Command::Serve(_) => {
-            crate::logging::start(&settings.node);
+            crate::logging::start(&settings.node, tunables.log.format);
             match transport::serve(settings, tunables) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(error) => {
--- a/src/coordination/leader/machines/fleet.rs
+++ b/src/coordination/leader/machines/fleet.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Offers that rest after a refusal, and until when.
+    pub fn resting_offers(&self, now: Millis) -> impl Iterator<Item = (Offer, Millis)> + '_ {
+        self.refused.iter().map(|(offer, until)| (*offer, *until)).filter(move |(_, until)| *until > now)
+    }
+
     fn ask(&mut self, request: CloudRequest, booking: Option<String>, out: &mut Vec<Output>) {
         self.next_ask += 1;
         let ask = AskId(self.next_ask);
@@ -419,7 +424,8 @@
                 }
                 _ => continue,
             };
-            log::info!("machine {} goes back: {why}", machine.name);
+            let name = machine.name.as_str();
+            log::info!(event = "goes_back", machine = name, why; "machine {name} goes back: {why}");
             self.send_back(ix);
         }
     }
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -6,6 +6,7 @@
 use crate::coordination::Clock;
 use crate::coordination::leader::{Binding, Leader, Life, Run};
 use crate::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
+use crate::protocol::operators::EventWord;
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{ExitCause, Order, Piece, Report, TaskState};
 
@@ -90,7 +91,7 @@
         let machine = &mut self.machines[ix.at()];
         machine.endpoint.clone_from(&report.endpoint);
         if machine.life == Life::Booting {
-            log::info!("machine {} up ({})", machine.name, report.kind);
+            log::info!(event = "machine_up", machine = machine.name.as_str(); "machine {} up ({})", machine.name, report.kind);
             machine.idle_since = clock.now;
         }
         if matches!(machine.life, Life::Booting | Life::Silent) {
@@ -118,7 +119,7 @@
             Some(ms) => {
                 let until = clock.now.plus(ms);
                 if machine.notice_until.is_none() {
-                    log::info!("machine {} is taken back in {ms} ms", machine.name);
+                    log::info!(event = "notice", machine = machine.name.as_str(); "machine {} is taken back in {ms} ms", machine.name);
                     machine.notice_until = Some(until);
                     self.on_notice(ix, ms);
                 }
@@ -140,6 +141,7 @@
         let sent = |binding: &Binding| binding.late || !matches!(binding.run, Run::Planned | Run::Recorded);
         while let Some(at) = self.machines[ix.at()].bindings.iter().position(sent) {
             let binding = self.detach(ix, at, clock);
+            self.journal.note(binding.task.job, EventWord::MachineGone, Some(ix), binding.task.task, 1);
             self.requeue(&binding, 0, clock);
         }
         self.forget_images(ix);
@@ -165,6 +167,10 @@
                 }
                 if state == TaskState::Running && binding.running_since.is_none() {
                     binding.running_since = Some(clock.now);
+                    self.journal.note(piece.task.job, EventWord::Running, Some(ix), piece.task.task, 1);
+                    if let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) {
+                        work.first_run.saw(clock.wall_ms);
+                    }
                 }
                 let fetched = matches!(state, TaskState::Running | TaskState::Gathering);
                 if let Some(since) = binding.fetching_since.take_if(|_| fetched) {
@@ -238,6 +244,7 @@
 
     fn exited(&mut self, ix: MachineIx, at: usize, cause: ExitCause, clock: Clock) {
         let binding = self.detach(ix, at, clock);
+        self.note_exit(ix, &binding, cause);
         if binding.late {
             self.machines[ix.at()].late.insert((binding.task, binding.attempt));
         }
@@ -267,7 +274,8 @@
     }
 
     fn failed(&mut self, ix: MachineIx, binding: &Binding) {
-        log::info!("{} failed on {}", binding.task, self.machines[ix.at()].name);
+        let machine = self.machines[ix.at()].name.as_str();
+        log::info!(event = "failed", task:% = binding.task, machine; "{} failed on {machine}", binding.task);
         let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) else {
             return;
         };
@@ -284,7 +292,7 @@
         let machine = &mut self.machines[ix.at()];
         machine.errors.insert(binding.task.job);
         if machine.errors.len() >= SICK_JOBS && !machine.sick {
-            log::info!("machine {} taken for sick", machine.name);
+            log::info!(event = "sick", machine = machine.name.as_str(); "machine {} taken for sick", machine.name);
             machine.sick = true;
             self.spread_queues(ix);
         }
@@ -308,7 +316,7 @@
             }
             let (runs, sum) = machine.pace;
             if runs >= COMPARED_RUNS && sum > SLOW * f64::from(runs) && !machine.slow {
-                log::info!("machine {} taken for slow", machine.name);
+                log::info!(event = "slow", machine = machine.name.as_str(); "machine {} taken for slow", machine.name);
                 machine.slow = true;
             }
             // Only runs that were seen from start to end say how long a task takes.
--- a/src/coordination/leader/machines/silence.rs
+++ b/src/coordination/leader/machines/silence.rs
@@ -73,7 +73,8 @@
             if machine.life != Life::Up || clock.now < self.empty_at(machine) {
                 continue;
             }
-            log::info!("machine {} lost with {} tasks", machine.name, machine.bindings.len());
+            let (name, tasks) = (machine.name.as_str(), machine.bindings.len());
+            log::info!(event = "machine_lost", machine = name, tasks; "machine {name} lost with {tasks} tasks");
             self.counters.lost_machines += 1;
             let machine = &mut self.machines[at];
             machine.life = Life::Silent;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,6 +1,9 @@
 //! What only the leader knows and does: all machine queues, placement, the
 //! fleet, and the records that make it safe.
 
+pub mod explain;
+pub mod inspect;
+pub mod journal;
 pub mod machines;
 pub mod placement;
 pub mod records;
@@ -25,6 +28,7 @@
 use crate::protocol::workers::TaskState;
 use crate::settings::{Settings, Team};
 use crate::tunables::Tunables;
+use journal::{FirstRun, Journal};
 use machines::fleet::Fleet;
 use machines::roster::Roster;
 use placement::gangs;
@@ -167,6 +171,7 @@
     /// Machines on which its tasks failed, since one last succeeded.
     pub failed_on: HashSet<MachineIx>,
     pub ending: bool,
+    pub first_run: FirstRun,
     /// It fits into its team's guarantee together with the team's earlier jobs.
     pub guaranteed: bool,
 }
@@ -241,6 +246,8 @@
     pub history: History,
     pub fleet: Fleet,
     pub counters: Counters,
+    /// What operators may ask about.
+    pub journal: Journal,
     pub settings: Arc<Settings>,
     pub tunables: Arc<Tunables>,
     most_tasks: usize,
@@ -298,6 +305,7 @@
             history: History::default(),
             fleet: Fleet::new(settings.cloud_rps, token, clock.now),
             counters: Counters::default(),
+            journal: Journal::new(tunables.operators.events(), clock.wall_ms),
             settings: settings.clone(),
             tunables: tunables.clone(),
             most_tasks: most_tasks(settings.state_limits.value_kb),
@@ -326,6 +334,7 @@
         leader.inherit_machines(mirror, clock);
         leader.fleet.inherit_bookings(mirror);
         leader.inherit_jobs(mirror, clock);
+        leader.journal.inherited();
         leader
     }
 
@@ -391,6 +400,9 @@
         let aim = self.aims.get(&job.info.class).and_then(|aims| aims.first().copied());
         let aim = due.into_iter().chain(aim).min().unwrap_or(NO_AIM_MS);
         let size = self.size_ms(&job.info);
+        if !self.work.contains_key(&ix) {
+            self.journal.add(info.id);
+        }
         self.work.entry(ix).or_insert_with(|| Work {
             info: job.info.clone(),
             rank: queues::Rank::new(ix, &job.info, aim, size),
@@ -401,6 +413,7 @@
             run_ms: 0,
             failed_on: HashSet::new(),
             ending: false,
+            first_run: self.journal.first_run(),
             guaranteed: false,
         });
     }
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::coordination::leader::records::history::Start;
 use crate::coordination::leader::{Binding, Leader, Run, Work};
 use crate::ids::{Amount, Attempt, JobIx, MachineIx, TaskRef};
+use crate::protocol::operators::EventWord;
 use crate::protocol::users::Urgency;
 
 /// Stealing of one machine within one round of placement.
@@ -22,16 +23,57 @@
 const GANGS_EVERY_MS: u64 = 150;
 
 /// When a task's turn comes: urgency, not covered by a guarantee, hopeless, rank.
-type Turn = (Urgency, bool, bool, Rank);
+pub type Turn = (Urgency, bool, bool, Rank);
+
+/// What keeps a task off a machine. Placement starts it where there is nothing; explain counts what there is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hindrance {
+    Full,
+    /// Not up, not confirmed, going back, sick, slow or taken back soon.
+    Closed,
+    /// Its type, zone or kind (spot) is not allowed.
+    Excluded,
+    TooSmall,
+    FailedHere,
+    /// One zone for all tasks, or at most half of them in one.
+    ZoneRule,
+    TeamLimit,
+}
 
 impl Leader {
+    /// What keeps a task of this job off this machine, room and quota aside.
+    pub fn unfit(&self, ix: MachineIx, work: &Work) -> Option<Hindrance> {
+        let machine = &self.machines[ix.at()];
+        if !machine.open() {
+            Some(Hindrance::Closed)
+        } else if !work.info.allows(machine.kind, machine.zone, machine.spot) {
+            Some(Hindrance::Excluded)
+        } else if !work.info.need.fits(&machine.size) {
+            Some(Hindrance::TooSmall)
+        } else if work.failed_on.contains(&ix) {
+            Some(Hindrance::FailedHere)
+        } else {
+            None
+        }
+    }
+
     /// May a task of this job start on this machine, room and quota aside?
     pub fn suits(&self, ix: MachineIx, work: &Work) -> bool {
-        let machine = &self.machines[ix.at()];
-        machine.open()
-            && work.info.allows(machine.kind, machine.zone, machine.spot)
-            && work.info.need.fits(&machine.size)
-            && !work.failed_on.contains(&ix)
+        self.unfit(ix, work).is_none()
+    }
+
+    /// What keeps a task of this job from starting now on a machine with so much room.
+    pub fn hindrance(&self, ix: MachineIx, free: &Amount, work: &Work) -> Option<Hindrance> {
+        if !work.info.need.fits(free) {
+            return Some(Hindrance::Full);
+        }
+        if let Some(unfit) = self.unfit(ix, work) {
+            return Some(unfit);
+        }
+        if !self.zone_allows(ix, work) {
+            return Some(Hindrance::ZoneRule);
+        }
+        (!self.within_quota(work.info.team, &work.info.need)).then_some(Hindrance::TeamLimit)
     }
 
     /// The zone rules, judged against every place where a task of the job may still be.
@@ -82,6 +124,7 @@
         let Some(rank) = self.work.get(&job).map(|work| work.rank) else { return };
         self.counters.looked_at += holders.len() as u64;
         self.counters.to_dedicated += tasks.len() as u64;
+        self.note_queued(job, tasks, EventWord::QueuedDedicated);
         let length = |ix: &MachineIx| self.machines[ix.at()].dedicated.len();
         let mut shortest: BTreeSet<(usize, MachineIx)> = holders.iter().map(|ix| (length(ix), *ix)).collect();
         for task in tasks {
@@ -98,10 +141,12 @@
     fn share_out(&mut self, job: JobIx, tasks: &[u32]) {
         let Some(rank) = self.work.get(&job).map(|work| work.rank) else { return };
         self.counters.to_shared += tasks.len() as u64;
+        self.note_queued(job, tasks, EventWord::QueuedShared);
         let fair = tasks.len().div_ceil(self.roster.takers().len().max(1));
         let mut rest = tasks;
         while !rest.is_empty() {
             let Some((ix, room)) = self.best_sampled(job) else {
+                self.note_queued(job, rest, EventWord::QueuedNowhere);
                 for task in rest {
                     self.backlog.push(rank, *task);
                 }
@@ -228,14 +273,15 @@
     /// May a task of this job start now with this much room? None: but for its team's limit.
     fn may_start(&self, ix: MachineIx, free: &Amount, job: JobIx) -> Option<bool> {
         let Some(work) = self.work.get(&job) else { return Some(false) };
-        if !work.info.need.fits(free) || !self.suits(ix, work) || !self.zone_allows(ix, work) {
-            return Some(false);
+        match self.hindrance(ix, free, work) {
+            None => Some(true),
+            Some(Hindrance::TeamLimit) => None,
+            Some(_) => Some(false),
         }
-        self.within_quota(work.info.team, &work.info.need).then_some(true)
     }
 
     /// Within one urgency: what a guarantee covers, then what borrows; the hopeless last.
-    fn turn(&self, rank: &Rank, clock: Clock) -> Option<Turn> {
+    pub fn turn(&self, rank: &Rank, clock: Clock) -> Option<Turn> {
         let work = self.work.get(&rank.job)?;
         Some((work.info.urgency, !work.guaranteed, self.hopeless(work, clock), *rank))
     }
@@ -319,6 +365,7 @@
             gone_by: None,
         };
         let start = Start { machine: ix, task: binding.task, attempt };
+        self.journal.note(start.task.job, EventWord::Bound, Some(ix), start.task.task, 1);
         self.attach(ix, binding);
         self.history.start(start);
         self.counters.bound += 1;
@@ -369,6 +416,7 @@
         for (rank, task) in taken {
             machine.shared.push(*rank, *task);
         }
+        self.note_moved(taken, EventWord::Stolen, thief);
         self.counters.steals += 1;
         self.counters.stolen += taken.len() as u64;
     }
@@ -392,9 +440,10 @@
             let machine = &mut self.machines[ix.at()];
             let moved = machine.dedicated.take_back(count, |_| true);
             let count = moved.len();
-            for (rank, task) in moved {
-                machine.shared.push(rank, task);
+            for (rank, task) in &moved {
+                machine.shared.push(*rank, *task);
             }
+            self.note_moved(&moved, EventWord::Spilled, ix);
             self.counters.spilled += count as u64;
             self.roster.room(ix);
             self.roster.wake(2 * count);
--- a/src/coordination/leader/placement/gangs.rs
+++ b/src/coordination/leader/placement/gangs.rs
@@ -6,6 +6,7 @@
 use crate::coordination::leader::placement::queues::Rank;
 use crate::coordination::leader::{Binding, Leader, Run, Work};
 use crate::ids::{Amount, JobIx, MachineIx, Millis, ZoneIx};
+use crate::protocol::operators::EventWord;
 use crate::protocol::users::Shape;
 
 /// Machines for all tasks, and what the dearest of them costs in milliseconds.
@@ -87,19 +88,24 @@
     /// A machine for each of `count` tasks, or None; room that can be made this way counts too.
     fn slots(&self, job: JobIx, count: usize, way: Way, clock: Clock) -> Option<Slots> {
         let work = self.work.get(&job)?;
-        let zones: Vec<Option<ZoneIx>> = if work.info.one_zone {
-            let mut zones: Vec<ZoneIx> = self.kinds.values().flat_map(|kind| kind.zones.clone()).collect();
-            zones.sort();
-            zones.dedup();
-            zones.into_iter().map(Some).collect()
-        } else {
-            vec![None]
-        };
-        let here = |zone| self.slots_in(job, work, count, zone, way, clock);
-        zones.into_iter().filter_map(here).min_by_key(|(cost, _)| *cost)
+        let here = |zone| self.reach(job, work, count, zone, way, clock);
+        let all = self.gang_zones(work).into_iter().map(here).filter(|(_, machines)| machines.len() == count);
+        all.min_by_key(|(cost, _)| *cost)
+    }
+
+    /// The zones to be tried one by one; None is all of them together.
+    pub fn gang_zones(&self, work: &Work) -> Vec<Option<ZoneIx>> {
+        if !work.info.one_zone {
+            return vec![None];
+        }
+        let mut zones: Vec<ZoneIx> = self.kinds.values().flat_map(|kind| kind.zones.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        zones.into_iter().map(Some).collect()
     }
 
-    fn slots_in(
+    /// Machines for as many of `count` tasks as there is room for.
+    pub fn reach(
         &self,
         job: JobIx,
         work: &Work,
@@ -107,7 +113,7 @@
         zone: Option<ZoneIx>,
         way: Way,
         clock: Clock,
-    ) -> Option<Slots> {
+    ) -> Slots {
         let mut candidates: Vec<(u64, u64, MachineIx)> = Vec::new();
         for ix in self.roster.open() {
             let ix = *ix;
@@ -144,7 +150,7 @@
             }
             chosen.extend(std::iter::repeat_n(ix, take as usize));
         }
-        (chosen.len() == count).then_some((delay, chosen))
+        (delay, chosen)
     }
 
     fn fetch_ms(&self, ix: MachineIx, work: &Work) -> u64 {
@@ -277,14 +283,14 @@
                 break;
             }
             room.add(&self.machines[ix.at()].bindings[at].need);
-            self.halt(ix, at);
+            self.halt(ix, at, EventWord::HaltedForUrgent);
             self.counters.preempted += 1;
         }
         self.drop_unsent(ix, clock);
     }
 
     /// Stops one task; one that saves gets the time for it. A gang stops as a whole.
-    pub fn halt(&mut self, ix: MachineIx, at: usize) {
+    pub fn halt(&mut self, ix: MachineIx, at: usize, why: EventWord) {
         let Some(job) = self.machines[ix.at()].bindings[at].job else {
             return;
         };
@@ -292,6 +298,8 @@
             return;
         };
         let grace = if work.info.checkpoint_ms > 0 { work.info.save_ms + GRACE_MS } else { 0 };
+        let task = self.machines[ix.at()].bindings[at].task;
+        self.journal.note(task.job, why, Some(ix), task.task, 1);
         if work.info.shape != Shape::Gang {
             self.machines[ix.at()].bindings[at].halt.get_or_insert(grace);
             self.to_tell.insert(ix);
@@ -358,13 +366,13 @@
                 .is_some_and(|work| work.info.checkpoint_ms > 0 && work.info.save_ms + GRACE_MS <= notice_ms);
             let unsent = matches!(binding.run, Run::Planned | Run::Recorded);
             if saves || unsent {
-                self.halt(ix, at);
+                self.halt(ix, at, EventWord::HaltedForDrain);
             }
         }
         self.spread_queues(ix);
     }
 }
 
-fn missing(work: &Work) -> Vec<u32> {
+pub fn missing(work: &Work) -> Vec<u32> {
     work.done.missing().filter(|task| !work.out.contains_key(task)).collect()
 }
--- a/src/coordination/leader/records/bindings.rs
+++ b/src/coordination/leader/records/bindings.rs
@@ -6,6 +6,7 @@
 use crate::coordination::leader::records::history::Start;
 use crate::coordination::leader::{Binding, Leader, Run};
 use crate::ids::{ImageIx, JobIx, MachineIx};
+use crate::protocol::operators::EventWord;
 
 impl Leader {
     /// A task may be on a machine from now on.
@@ -118,6 +119,7 @@
         while !self.machines[ix.at()].bindings.is_empty() {
             let at = self.machines[ix.at()].bindings.len() - 1;
             let binding = self.detach(ix, at, clock);
+            self.journal.note(binding.task.job, EventWord::MachineGone, Some(ix), binding.task.task, 1);
             self.requeue(&binding, 0, clock);
         }
     }
--- a/src/coordination/leader/records/writer.rs
+++ b/src/coordination/leader/records/writer.rs
@@ -15,6 +15,7 @@
 use crate::coordination::users::apply_changes;
 use crate::ids::{JobId, Millis, Revision};
 use crate::protocol::cloud::CatalogEntry;
+use crate::protocol::operators::EventWord;
 use crate::protocol::state::{Change, Guard, StateReply};
 
 /// What follows once a change is durable.
@@ -158,7 +159,10 @@
             if batch.full() {
                 return;
             }
-            let record = EndRecord::new(End::Done, clock.wall_ms);
+            let first = |ix| self.work.get(&ix).and_then(|work| work.first_run.known());
+            let first = batch.mirror.find(*id).and_then(first);
+            let detail = if self.journal.on() { batch.mirror.end_detail(*id, first) } else { None };
+            let record = EndRecord::new(End::Done, clock.wall_ms, detail);
             batch.add(&Key::End(*id), json(&record), Effect::Ended(*id));
         }
         for (key, value) in &self.writer.others {
@@ -287,7 +291,8 @@
                 self.writer.ends.remove(&id);
                 self.history.told_elsewhere(id, None);
                 self.writer.clean(id);
-                log::info!("done {id}");
+                self.journal.note(id, EventWord::JobDone, None, 0, 0);
+                log::info!(event = "done", job:% = id; "done {id}");
             }
             Effect::Cleaned(id) => {
                 self.writer.cleaning.remove(&id);
--- a/src/coordination/leader/withdraw.rs
+++ b/src/coordination/leader/withdraw.rs
@@ -4,6 +4,7 @@
 use crate::coordination::Clock;
 use crate::coordination::leadership::MARGIN_MS;
 use crate::ids::{JobId, JobIx, MachineIx, Millis};
+use crate::protocol::operators::EventWord;
 
 impl Leader {
     /// When a worker that still shows a withdrawn job's task must get no more answers,
@@ -29,10 +30,13 @@
             }
             self.drop_holds(ix);
         }
+        self.journal.note(id, EventWord::Withdrawn, None, 0, 0);
         let gone_by = self.gone_by(told_wall_ms, clock);
         for at in 0..self.machines.len() {
             for binding in &mut self.machines[at].bindings {
                 if binding.task.job == id {
+                    let task = binding.task.task;
+                    self.journal.note(id, EventWord::HaltedWithdrawn, Some(MachineIx(at as u32)), task, 1);
                     binding.job = None;
                     binding.halt = Some(0);
                     binding.halt_sent = None;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,12 +6,14 @@
 pub mod leadership;
 pub mod ledger;
 pub mod node;
+pub mod operators;
 pub mod peers;
 pub mod users;
 
 use crate::ids::Millis;
 use crate::protocol::cloud::CloudRequest;
 use crate::protocol::mesh::MeshMessage;
+use crate::protocol::operators::OperatorRequest;
 use crate::protocol::state::StateRequest;
 use crate::protocol::users::UserRequest;
 use crate::protocol::workers::Report;
@@ -41,6 +43,7 @@
     Cloud { ask: AskId, outcome: Outcome },
     Orders { ask: AskId, outcome: Outcome },
     Mesh { node: String, message: MeshMessage },
+    Operator { call: CallId, request: OperatorRequest },
 }
 
 impl Input {
@@ -54,6 +57,7 @@
             Input::Cloud { .. } => "cloud",
             Input::Orders { .. } => "orders",
             Input::Mesh { .. } => "mesh",
+            Input::Operator { .. } => "operator",
         }
     }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node/mod.rs
@@ -1,19 +1,22 @@
 //! One controller: events in, actions out.
 
+mod operators;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::leader::Leader;
-use super::leader::machines::orders::{Direct, DirectOutcome};
-use super::leader::machines::reports::Verdict;
-use super::leadership::{Leadership, Turn};
-use super::ledger::{Answered, Ledger, Purpose};
-use super::peers::Peers;
-use super::users::Users;
-use super::{AskId, CallId, Clock, Input, Output};
 use crate::bookkeeping::jobs::End;
 use crate::bookkeeping::mirror::{Mirror, Seen};
-use crate::ids::{JobId, Millis, Revision, Token};
+use crate::coordination::leader::Leader;
+use crate::coordination::leader::machines::orders::{Direct, DirectOutcome};
+use crate::coordination::leader::machines::reports::Verdict;
+use crate::coordination::leadership::{Leadership, Turn};
+use crate::coordination::ledger::{Answered, Ledger, Purpose};
+use crate::coordination::operators::Operators;
+use crate::coordination::peers::Peers;
+use crate::coordination::users::Users;
+use crate::coordination::{AskId, CallId, Clock, Input, Output};
+use crate::ids::{Millis, Revision, Token};
 use crate::protocol::cloud::{CloudReply, CloudRequest};
 use crate::protocol::mesh::MeshMessage;
 use crate::protocol::workers::{Report, elsewhere, orders_answer, orders_call, read_report};
@@ -60,12 +63,17 @@
     alone_since: Option<Millis>,
     /// When the leader next looks at all its machines.
     look_around_next: Millis,
+    operators: Operators,
+    started: Millis,
+    /// Times that this node began to lead.
+    takeovers: u64,
 }
 
 impl Node {
     pub fn new(settings: Settings, tunables: Tunables, seed: u64, clock: Clock) -> Node {
         let life_ms = (tunables.leader_life_s * 1000.0) as u64;
         let others = settings.others.iter().map(|other| other.node.clone()).collect();
+        let operators = tunables.operators.clone();
         Node {
             leadership: Leadership::new(&settings.node, life_ms),
             ledger: Ledger::new(settings.state_limits, settings.nodes, clock.now),
@@ -73,7 +81,10 @@
             tunables: Arc::new(tunables),
             seed,
             mirror: Mirror::default(),
-            users: Users::default(),
+            users: Users::new(operators.enabled),
+            operators: Operators::new(&operators, clock.now),
+            started: clock.now,
+            takeovers: 0,
             leader: None,
             taking_over: None,
             directs: HashMap::new(),
@@ -129,7 +140,8 @@
             Input::State { ask, outcome } => self.state_answered(clock, ask, &outcome, &mut out),
             Input::Cloud { ask, outcome } => self.cloud_answered(clock, ask, &outcome),
             Input::Orders { ask, outcome } => self.orders_answered(clock, ask, &outcome),
-            Input::Mesh { node, message } => self.mesh(clock, &node, &message),
+            Input::Mesh { node, message } => self.mesh(clock, &node, message, &mut out),
+            Input::Operator { call, request } => self.operator(clock, call, request, &mut out),
         }
         out
     }
@@ -142,9 +154,13 @@
         let due = if leads { LEADER_POLL_MS } else { FOLLOWER_POLL_MS };
         let favoured = clock.now < self.peers.favoured_until;
         self.leadership.tick(clock, favoured, &self.mirror, &mut self.ledger, out);
-        let wanted = self.users.wants_barrier() || self.taking_over.is_some() || favoured;
+        let asked = self.users.wants_barrier() || self.operators.wants_barrier();
+        let wanted = asked || self.taking_over.is_some() || favoured;
         self.ledger.keep_fresh(clock, wanted, due, &self.mirror, out);
         self.users.expire(clock, self.ledger.reachable(clock.now), out);
+        if self.operators.enabled {
+            self.operators_overdue(clock, out);
+        }
         let ops = self.settings.state_limits.txn_ops;
         self.users.write(clock, ops, &mut self.ledger, out);
         self.learn_catalog(clock, out);
@@ -172,6 +188,7 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
+        leader.journal.tell_time(clock.wall_ms);
         let look_around = clock.now >= self.look_around_next;
         if look_around {
             self.look_around_next = clock.now.plus(LOOK_AROUND_MS);
@@ -345,13 +362,10 @@
         if !served {
             return;
         }
-        let leader = &self.leader;
-        let mirror = &self.mirror;
-        let running = |id: JobId| match leader.as_ref().zip(mirror.find(id)) {
-            Some((leader, ix)) => leader.work.get(&ix).map_or(0, |work| work.out.len() as u32),
-            None => mirror.recorded_running(id),
-        };
-        self.users.barrier(sent, mirror, &self.settings, &running, out);
+        let mut users = std::mem::take(&mut self.users);
+        users.barrier(sent, &self.mirror, &self.settings, &|id| self.running(id), out);
+        self.users = users;
+        self.answer_operators(clock, sent, out);
         self.take_over(clock);
     }
 
@@ -428,12 +442,14 @@
             start,
         );
         log::info!(
+            event = "leads", token = token.0;
             "leads with token {}: {} jobs, {} machines on record",
             token.0,
             leader.work.len(),
             leader.machines.len()
         );
         self.leader = Some(leader);
+        self.takeovers += 1;
         self.peers.not_stray();
     }
 
@@ -484,10 +500,10 @@
         leader.direct_outcome(&direct, verdict, clock);
     }
 
-    fn mesh(&mut self, clock: Clock, node: &str, message: &MeshMessage) {
+    fn mesh(&mut self, clock: Clock, node: &str, message: MeshMessage, out: &mut Vec<Output>) {
         match message {
             MeshMessage::Beat { state_ok, strays, hearsay } => {
-                self.peers.heard(clock.now, node, *state_ok, *strays, *hearsay);
+                self.peers.heard(clock.now, node, state_ok, strays, hearsay);
             }
             MeshMessage::Yield => {
                 log::info!("{node} would like this node to lead");
@@ -497,10 +513,15 @@
             MeshMessage::Hello { .. } => {}
             MeshMessage::Poke { revision } => {
                 log::debug!("{node} has written revision {revision}");
-                if *revision > self.mirror.revision.0 {
+                if revision > self.mirror.revision.0 {
                     self.ledger.look_now();
                 }
             }
+            MeshMessage::Ask { ask, question } => self.asked_by_node(clock, node, ask, &question, out),
+            MeshMessage::Told { ask, status, retry_after_s, body } => {
+                let answer = Answer { status, retry_after_s, ..Answer::raw(body) };
+                self.told_by_leader(clock, ask, answer, out);
+            }
         }
     }
 }
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -75,6 +75,11 @@
         self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < FRESH_MS)
     }
 
+    /// Has this node said something lately?
+    pub fn hears(&self, now: Millis, node: &str) -> bool {
+        self.fresh(now).any(|(name, _)| name == node)
+    }
+
     /// Does another node reach the state service?
     pub fn any_state_ok(&self, now: Millis) -> bool {
         self.fresh(now).any(|(_, peer)| peer.state_ok)
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -5,7 +5,7 @@
 use super::{CallId, Clock, Output};
 use crate::bookkeeping::jobs::{End, need_of};
 use crate::bookkeeping::mirror::Mirror;
-use crate::bookkeeping::records::{EndRecord, JobRecord, Key};
+use crate::bookkeeping::records::{EndDetail, EndRecord, JobRecord, Key};
 use crate::ids::{Amount, JobId, Millis, Revision, milli_down};
 use crate::protocol::Answer;
 use crate::protocol::state::{Change, Guard, Pair, StateReply, StateRequest};
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 enum Write {
     Accept { call: CallId, id: JobId, spec: Box<JobSpec> },
-    Withdraw { call: CallId, id: JobId },
+    Withdraw { call: CallId, id: JobId, detail: Option<EndDetail> },
 }
 
 impl Write {
@@ -49,6 +49,8 @@
 
 #[derive(Debug, Default)]
 pub struct Users {
+    /// Ends tell more for operators.
+    details: bool,
     waiting: Vec<Waiting>,
     queued: Vec<(Write, Millis)>,
     writing: Vec<(Write, Millis)>,
@@ -58,6 +60,10 @@
 pub type Running<'a> = &'a dyn Fn(JobId) -> u32;
 
 impl Users {
+    pub fn new(details: bool) -> Users {
+        Users { details, ..Users::default() }
+    }
+
     pub fn wants_barrier(&self) -> bool {
         !self.waiting.is_empty()
     }
@@ -136,7 +142,8 @@
                 status_of(id, mirror, running).unwrap_or_else(|| Answer::error(404, "no such job"))
             }
             UserRequest::Abort { id } if mirror.find(id).is_some() => {
-                self.queued.push((Write::Withdraw { call, id }, waiting.until));
+                let detail = if self.details { mirror.end_detail(id, None) } else { None };
+                self.queued.push((Write::Withdraw { call, id, detail }, waiting.until));
                 return;
             }
             UserRequest::Abort { .. } => Answer::error(404, "no such job"),
@@ -257,7 +264,7 @@
             }
             let (call, request) = match write {
                 Write::Accept { call, id, spec } => (call, UserRequest::Submit { id, spec: Ok(spec) }),
-                Write::Withdraw { call, id } => (call, UserRequest::Abort { id }),
+                Write::Withdraw { call, id, .. } => (call, UserRequest::Abort { id }),
             };
             self.waiting.push(Waiting { call, request, arrived: clock.now, until });
         }
@@ -287,8 +294,8 @@
             // The record of an ended job is removed in time, its end never is.
             (vec![absent(Key::Job(*id)), absent(Key::End(*id))], put)
         }
-        Write::Withdraw { id, .. } => {
-            let record = EndRecord::new(End::Withdrawn, wall_ms);
+        Write::Withdraw { id, detail, .. } => {
+            let record = EndRecord::new(End::Withdrawn, wall_ms, detail.clone());
             let put = Change::Put {
                 key: Key::End(*id).text(),
                 value: serde_json::to_string(&record).unwrap_or_default(),
@@ -302,11 +309,11 @@
 fn accepted(write: &Write) -> Output {
     let (call, answer) = match write {
         Write::Accept { call, id, .. } => {
-            log::info!("accepted {id}");
+            log::info!(event = "accepted", job:% = id; "accepted {id}");
             (*call, status_answer(201, *id, JobStatus::Pending, None))
         }
-        Write::Withdraw { call, id } => {
-            log::info!("withdrawn {id}");
+        Write::Withdraw { call, id, .. } => {
+            log::info!(event = "withdrawn", job:% = id; "withdrawn {id}");
             (*call, status_answer(200, *id, JobStatus::Withdrawn, None))
         }
     };
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,11 +1,18 @@
-//! Logs on standard error, one line an event, at `LOG_LEVEL`.
+//! Logs on standard error, one line an event, at `LOG_LEVEL`, as text, `key=value` pairs or JSON.
 
-use std::io::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::time::{SystemTime, UNIX_EPOCH};
 
+use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Metadata, Record};
+use serde_json::Map;
+
+use crate::tunables::LogFormat;
 
 struct Stderr {
     node: String,
+    format: LogFormat,
 }
 
 impl log::Log for Stderr {
@@ -17,7 +24,8 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let line = format!("{} {} {}\n", record.level(), self.node, record.args());
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let line = line(self.format, &self.node, wall.as_millis() as u64, record);
         // One write a line: lines of several processes do not mix. A full pipe is not worth dying for.
         let _ = std::io::stderr().write_all(line.as_bytes());
     }
@@ -25,7 +33,54 @@
     fn flush(&self) {}
 }
 
-pub fn start(node: &str) {
+/// The pairs of one event, in their order.
+struct Pairs(Vec<(String, String)>);
+
+impl<'kvs> VisitSource<'kvs> for Pairs {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.push((key.as_str().into(), value.to_string()));
+        Ok(())
+    }
+}
+
+fn line(format: LogFormat, node: &str, wall_ms: u64, record: &Record<'_>) -> String {
+    if format == LogFormat::Text {
+        return format!("{} {node} {}\n", record.level(), record.args());
+    }
+    let level = record.level().as_str().to_ascii_lowercase();
+    let mut pairs = Pairs(vec![
+        ("ts_ms".into(), wall_ms.to_string()),
+        ("level".into(), level),
+        ("node".into(), node.into()),
+        ("msg".into(), record.args().to_string()),
+    ]);
+    // Pairs that cannot be read are left out; the message says it all.
+    let _ = record.key_values().visit(&mut pairs);
+    match format {
+        LogFormat::Json => {
+            let object: Map<String, serde_json::Value> =
+                pairs.0.into_iter().map(|(key, value)| (key, value.into())).collect();
+            format!("{}\n", serde_json::Value::Object(object))
+        }
+        LogFormat::Logfmt | LogFormat::Text => logfmt(&pairs.0),
+    }
+}
+
+fn logfmt(pairs: &[(String, String)]) -> String {
+    let mut line = String::new();
+    for (at, (key, value)) in pairs.iter().enumerate() {
+        let space = if at == 0 { "" } else { " " };
+        let plain =
+            !value.is_empty() && value.bytes().all(|b| b.is_ascii_graphic() && b != b'"' && b != b'=');
+        // Writing to a string does not fail.
+        let _ =
+            if plain { write!(line, "{space}{key}={value}") } else { write!(line, "{space}{key}={value:?}") };
+    }
+    line.push('\n');
+    line
+}
+
+pub fn start(node: &str, format: LogFormat) {
     let level = match std::env::var("LOG_LEVEL").as_deref() {
         Ok("error") => LevelFilter::Error,
         Ok("warn") => LevelFilter::Warn,
@@ -35,5 +90,33 @@
     };
     log::set_max_level(level);
     // A second start (tests) keeps the first logger.
-    let _ = log::set_boxed_logger(Box::new(Stderr { node: node.into() }));
+    let _ = log::set_boxed_logger(Box::new(Stderr { node: node.into(), format }));
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A message with quotes and line breaks stays one line that a program can read back.
+    #[test]
+    fn each_format_keeps_an_event_on_one_line() {
+        let pairs = [("job", "job-000001"), ("why", "a \"b\"\nc")];
+        let shown = |format| {
+            let args = format_args!("accepted\njob-000001");
+            let record = Record::builder().args(args).level(log::Level::Info).key_values(&pairs).build();
+            line(format, "n0", 7, &record)
+        };
+        let json = shown(LogFormat::Json);
+        let value: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+        assert_eq!(
+            (json.lines().count(), &value["job"], &value["why"]),
+            (1, &"job-000001".into(), &"a \"b\"\nc".into())
+        );
+        let logfmt = shown(LogFormat::Logfmt);
+        assert_eq!(
+            logfmt,
+            "ts_ms=7 level=info node=n0 msg=\"accepted\\njob-000001\" job=job-000001 why=\"a \\\"b\\\"\\nc\"\n"
+        );
+        assert_eq!(shown(LogFormat::Text), "INFO n0 accepted\njob-000001\n");
+    }
 }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -2,6 +2,9 @@
 
 use rkyv::{Archive, Deserialize, Serialize, rancor};
 
+use super::operators::{LARGEST_PAGE, OperatorRequest};
+use crate::ids::JobId;
+
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub enum MeshMessage {
     /// First frame of a connection: which node is calling.
@@ -13,6 +16,46 @@
     Beat { state_ok: bool, strays: u32, hearsay: u32 },
     /// The leader resigns and would like the receiver to take over.
     Yield,
+    /// A client asked what only the leader knows. Only said where the operators' interface is on.
+    Ask { ask: u64, question: Question },
+    /// The leader's answer, ready to be passed on.
+    Told { ask: u64, status: u16, retry_after_s: Option<u32>, body: Vec<u8> },
+}
+
+/// What operators may ask of the leader.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum Question {
+    Inspect { job: u64, after: Option<u32>, limit: u32 },
+    Explain { job: u64, task: Option<u32> },
+    Events { job: u64 },
+}
+
+impl OperatorRequest {
+    /// How the leader is asked, if only it can answer.
+    pub fn question(&self) -> Option<Question> {
+        Some(match self {
+            OperatorRequest::Inspect { id, after, limit } => {
+                Question::Inspect { job: id.0, after: *after, limit: *limit as u32 }
+            }
+            OperatorRequest::Explain { id, task } => Question::Explain { job: id.0, task: *task },
+            OperatorRequest::Events { id } => Question::Events { job: id.0 },
+            OperatorRequest::List(_) | OperatorRequest::Status | OperatorRequest::Metrics => return None,
+        })
+    }
+}
+
+impl From<&Question> for OperatorRequest {
+    fn from(question: &Question) -> OperatorRequest {
+        match question {
+            Question::Inspect { job, after, limit } => OperatorRequest::Inspect {
+                id: JobId(*job),
+                after: *after,
+                limit: (*limit as usize).min(LARGEST_PAGE),
+            },
+            Question::Explain { job, task } => OperatorRequest::Explain { id: JobId(*job), task: *task },
+            Question::Events { job } => OperatorRequest::Events { id: JobId(*job) },
+        }
+    }
 }
 
 /// Largest frame that is read; anything above is taken for garbage.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cloud;
 pub mod mesh;
+pub mod operators;
 pub mod state;
 pub mod users;
 pub mod workers;
@@ -23,11 +24,18 @@
     pub status: u16,
     pub retry_after_s: Option<u32>,
     pub body: Vec<u8>,
+    /// Text for people or scrapers instead of JSON.
+    pub text: bool,
 }
 
 impl Answer {
     pub fn json(status: u16, body: &impl serde::Serialize) -> Answer {
-        Answer { status, retry_after_s: None, body: serde_json::to_vec(body).unwrap_or_default() }
+        Answer { status, ..Answer::raw(serde_json::to_vec(body).unwrap_or_default()) }
+    }
+
+    /// A body that is JSON already.
+    pub fn raw(body: Vec<u8>) -> Answer {
+        Answer { status: 200, retry_after_s: None, body, text: false }
     }
 
     pub fn error(status: u16, text: &str) -> Answer {
--- /dev/null
+++ b/src/transport/metrics.rs
@@ -0,0 +1,183 @@
+//! This controller's figures as OpenMetrics text: names with units, one line of help, few labels.
+
+use std::collections::BTreeMap;
+use std::fmt::Error;
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric, NoLabelSet};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::registry::Registry;
+
+use super::timings::Spread;
+use crate::protocol::operators::{LeaderStatus, NodeStatus};
+
+/// What one scrape shows.
+#[derive(Debug)]
+pub struct Scrape {
+    pub status: NodeStatus,
+    /// Answers by their status.
+    pub answers: BTreeMap<u16, u64>,
+    /// How long each kind of event was worked on.
+    pub events: Vec<(&'static str, Spread)>,
+    pub connections: u64,
+}
+
+pub fn text(scrape: Scrape) -> String {
+    let mut registry = Registry::default();
+    registry.register_collector(Box::new(scrape));
+    let mut text = String::new();
+    match encode(&mut text, &registry) {
+        Ok(()) => text,
+        // Writing to a string does not fail; half a scrape would be worse than none.
+        Err(_) => String::new(),
+    }
+}
+
+/// Name, help, value.
+type Figure = (&'static str, &'static str, f64);
+
+fn flag(value: bool) -> f64 {
+    f64::from(u8::from(value))
+}
+
+fn node_gauges(status: &NodeStatus, connections: u64) -> Vec<Figure> {
+    vec![
+        ("olivelatch_ready", "Whether this controller takes requests", flag(status.ready)),
+        ("olivelatch_leads", "Whether this controller leads", flag(status.leads)),
+        ("olivelatch_state_reachable", "Whether the state service answers it", flag(status.state_reachable)),
+        (
+            "olivelatch_revision",
+            "Revision of the state service up to which it knows all",
+            status.revision as f64,
+        ),
+        (
+            "olivelatch_mirror_age_seconds",
+            "Since the last poll that was answered",
+            status.mirror_age_s.unwrap_or(f64::NAN),
+        ),
+        ("olivelatch_jobs_live", "Jobs with a record", status.jobs_live as f64),
+        ("olivelatch_jobs_ended", "Jobs that are over", status.jobs_ended as f64),
+        ("olivelatch_requests_held", "Users' requests that wait for an answer", status.requests_held as f64),
+        ("olivelatch_connections", "Open connections of users, workers and operators", connections as f64),
+        ("olivelatch_uptime_seconds", "Since this controller started", status.uptime_s),
+    ]
+}
+
+fn leader_gauges(work: &LeaderStatus) -> Vec<Figure> {
+    vec![
+        ("olivelatch_machines_up", "Machines that report", work.machines_up as f64),
+        ("olivelatch_machines_booting", "Machines rented and not heard of yet", work.machines_booting as f64),
+        ("olivelatch_machines_silent", "Machines whose lease has ended", work.machines_silent as f64),
+        ("olivelatch_cpus", "CPUs of machines that are up", work.cpus),
+        ("olivelatch_cpus_used", "CPUs bound to tasks on them", work.cpus_used),
+        ("olivelatch_queued_shared_tasks", "Tasks in shared queues", work.queued_shared as f64),
+        ("olivelatch_queued_dedicated_tasks", "Tasks in dedicated queues", work.queued_dedicated as f64),
+        (
+            "olivelatch_queued_nowhere_tasks",
+            "Tasks that no present machine may take",
+            work.queued_nowhere as f64,
+        ),
+        ("olivelatch_gangs_waiting", "Gangs and services with tasks to place", work.gangs_waiting as f64),
+        ("olivelatch_tasks_out", "Tasks that may be on machines", work.tasks_out as f64),
+        ("olivelatch_log_parts", "Parts of the log in the state service", work.log_parts as f64),
+    ]
+}
+
+fn leader_counters(work: &LeaderStatus) -> Vec<(&'static str, &'static str, u64)> {
+    vec![
+        ("olivelatch_starts", "Tasks bound to machines in this leadership", work.starts),
+        ("olivelatch_steals", "Steals that found something", work.steals),
+        ("olivelatch_stolen_tasks", "Tasks moved by steals and earlier turns", work.stolen_tasks),
+        ("olivelatch_spilled_tasks", "Tasks moved from dedicated to shared queues", work.spilled_tasks),
+        ("olivelatch_preempted_tasks", "Tasks stopped to make room", work.preempted_tasks),
+        ("olivelatch_machines_lost", "Machines lost with what was on them", work.machines_lost),
+        ("olivelatch_state_changes", "Changes asked of the state service", work.state_changes),
+    ]
+}
+
+impl Collector for Scrape {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), Error> {
+        let work = self.status.work.as_ref();
+        let mut gauges = node_gauges(&self.status, self.connections);
+        gauges.extend(work.map(leader_gauges).unwrap_or_default());
+        for (name, help, value) in gauges {
+            let gauge = ConstGauge::new(value);
+            gauge.encode(encoder.encode_descriptor(name, help, None, MetricType::Gauge)?)?;
+        }
+        let mut counters = work.map(leader_counters).unwrap_or_default();
+        counters.push(("olivelatch_takeovers", "Times that it began to lead", self.status.takeovers));
+        for (name, help, value) in counters {
+            let counter = ConstCounter::new(value);
+            counter.encode(encoder.encode_descriptor(name, help, None, MetricType::Counter)?)?;
+        }
+        self.encode_answers(&mut encoder)?;
+        self.encode_teams(&mut encoder)?;
+        self.encode_events(&mut encoder)
+    }
+}
+
+impl Scrape {
+    fn encode_answers(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), Error> {
+        let help = "Answers by status; 503 are requests sent away to come back";
+        let mut family = encoder.encode_descriptor("olivelatch_answers", help, None, MetricType::Counter)?;
+        for (status, count) in &self.answers {
+            let status = status.to_string();
+            let labels = [("status", status.as_str())];
+            family.encode_family(&labels)?.encode_counter::<NoLabelSet, _, u64>(count, None)?;
+        }
+        Ok(())
+    }
+
+    fn encode_teams(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), Error> {
+        let Some(work) = &self.status.work else { return Ok(()) };
+        let help = "CPUs that a team's tasks take";
+        let mut family =
+            encoder.encode_descriptor("olivelatch_team_cpus_used", help, None, MetricType::Gauge)?;
+        for team in &work.teams {
+            family.encode_family(&[("team", team.team.as_str())])?.encode_gauge(&team.used_cpus)?;
+        }
+        Ok(())
+    }
+
+    fn encode_events(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), Error> {
+        let (name, help) = ("olivelatch_event_seconds", "How long an event was worked on, by kind");
+        let mut family = encoder.encode_descriptor(name, help, None, MetricType::Histogram)?;
+        for (kind, spread) in &self.events {
+            let labels = [("kind", *kind)];
+            let mut one = family.encode_family(&labels)?;
+            one.encode_histogram::<NoLabelSet>(spread.sum_s, spread.count, &spread.buckets, None)?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A follower shows no leader's figures; each line is one that a scraper takes.
+    #[test]
+    fn a_scrape_has_names_help_and_an_end() {
+        let spread = Spread { sum_s: 0.5, count: 3, buckets: vec![(0.001, 2), (f64::INFINITY, 1)] };
+        let scrape = |work| Scrape {
+            status: NodeStatus { ready: true, work, ..NodeStatus::default() },
+            answers: BTreeMap::from([(200, 4), (503, 1)]),
+            events: vec![("report", spread.clone())],
+            connections: 7,
+        };
+        let leader = text(scrape(Some(LeaderStatus { starts: 9, ..LeaderStatus::default() })));
+        for line in [
+            "olivelatch_ready 1.0",
+            "olivelatch_starts_total 9",
+            "olivelatch_answers_total{status=\"503\"} 1",
+            "olivelatch_event_seconds_bucket{le=\"+Inf\",kind=\"report\"} 3",
+            "# EOF",
+        ] {
+            assert!(leader.lines().any(|found| found == line), "{line} in\n{leader}");
+        }
+        assert!(!text(scrape(None)).contains("olivelatch_starts"));
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,11 +2,12 @@
 
 mod clients;
 mod mesh;
+mod metrics;
 mod router;
 mod servers;
 mod timings;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::TcpListener;
 use std::num::NonZeroUsize;
@@ -18,12 +19,15 @@
 use crate::coordination::node::Node;
 use crate::coordination::{CallId, Clock, Input, Output};
 use crate::ids::Millis;
+use crate::protocol::Answer;
+use crate::protocol::operators::OperatorRequest;
 use crate::settings::Settings;
 use crate::tunables::Tunables;
 use clients::Clients;
 use mesh::Mesh;
+use metrics::Scrape;
 use olivelatch_net::poll::{Gate, Watch};
-use servers::Servers;
+use servers::{Facing, Servers};
 use timings::Timings;
 
 const FRONT: usize = 0;
@@ -73,6 +77,8 @@
     clients: Clients,
     mesh: Mesh,
     timings: Timings,
+    /// Answers by status, for scrapes.
+    answers: BTreeMap<u16, u64>,
 }
 
 fn listen(gate: &Arc<Gate>, addr: std::net::SocketAddr, key: usize) -> io::Result<Watch<TcpListener>> {
@@ -98,7 +104,8 @@
         servers: Servers::new(most, settings.quota.mem_mb),
         clients: Clients::new(settings.state, settings.cloud, settings.quota.mem_mb),
         mesh: Mesh::new(&settings),
-        timings: Timings::default(),
+        timings: Timings::new(tunables.operators.enabled),
+        answers: BTreeMap::new(),
         node: Mutex::new(Node::new(settings, tunables, seed, clock)),
         common,
         front,
@@ -175,8 +182,8 @@
                 "transport-accept"
             }
             key if self.servers.has(key) => {
-                let ready = self.node().ready();
-                self.servers.event(&mut self.common, key, ready);
+                let facing = self.facing();
+                self.servers.event(&mut self.common, key, facing);
                 "transport-request"
             }
             key if self.clients.has(key) => {
@@ -191,6 +198,23 @@
         self.timings.stop(kind, started);
     }
 
+    fn facing(&self) -> Facing {
+        let node = self.node();
+        Facing { ready: node.ready(), operators: node.serves_operators() }
+    }
+
+    fn scrape(&mut self, call: CallId) {
+        let status = self.node().status(self.common.clock());
+        let scrape = Scrape {
+            status,
+            answers: self.answers.clone(),
+            events: self.timings.spreads(),
+            connections: self.servers.count_open(),
+        };
+        let answer = Answer { text: true, ..Answer::raw(metrics::text(scrape).into_bytes()) };
+        self.carry_out_one(Output::Answer { call, answer });
+    }
+
     fn accept_front(&mut self) {
         while let Ok((socket, _)) = self.front.source().accept() {
             self.servers.accept(&mut self.common, socket);
@@ -216,6 +240,10 @@
     /// Tells the node what happened and carries out what it decides, until nothing is left.
     fn drain(&mut self) {
         while let Some(input) = self.common.inputs.pop_front() {
+            if let Input::Operator { call, request: OperatorRequest::Metrics } = input {
+                self.scrape(call);
+                continue;
+            }
             let clock = self.common.clock();
             let (kind, started) = (input.kind(), self.timings.start());
             let outputs = self.node().take(clock, input);
@@ -247,7 +275,10 @@
     fn carry_out_one(&mut self, output: Output) {
         let common = &mut self.common;
         match output {
-            Output::Answer { call, answer } => self.servers.answer(common, call, &answer),
+            Output::Answer { call, answer } => {
+                *self.answers.entry(answer.status).or_default() += 1;
+                self.servers.answer(common, call, &answer);
+            }
             Output::State { ask, request, timeout_ms } => {
                 self.clients.ask_state(common, ask, request.to_call(), timeout_ms);
             }
--- a/src/transport/router.rs
+++ b/src/transport/router.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::JobId;
 use crate::protocol::Answer;
+use crate::protocol::operators::{OperatorRequest, read_operator};
 use crate::protocol::users::{UserRequest, read_submission};
 use crate::protocol::workers::{Report, read_report};
 use olivelatch_net::http::Request;
@@ -10,12 +11,17 @@
     Ready,
     User(UserRequest),
     Report(Box<Report>),
+    Operator(OperatorRequest),
     /// Answered without further ado.
     Final(Answer),
 }
 
-pub fn route(request: &Request) -> Routed {
-    let path = request.path.split('?').next().unwrap_or("");
+/// `operators`: their interface is turned on.
+pub fn route(request: &Request, operators: bool) -> Routed {
+    let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+    if operators && let Some(routed) = route_operator(request, path, query) {
+        return routed;
+    }
     let parts: Vec<&str> = path.split('/').skip(1).collect();
     let (method, action): (&str, &dyn Fn() -> Routed) = match parts.as_slice() {
         ["ready"] => ("GET", &|| Routed::Ready),
@@ -37,6 +43,18 @@
     action()
 }
 
+fn route_operator(request: &Request, path: &str, query: &str) -> Option<Routed> {
+    let asked = match path {
+        "/metrics" => Ok(OperatorRequest::Metrics),
+        _ => read_operator(path.strip_prefix("/v1/")?, query)?,
+    };
+    Some(match asked {
+        _ if request.method != "GET" => Routed::Final(Answer::error(405, "wrong method")),
+        Ok(asked) => Routed::Operator(asked),
+        Err(answer) => Routed::Final(answer),
+    })
+}
+
 /// A name of another form was never accepted.
 fn by_id(id: &str, make: impl Fn(JobId) -> UserRequest) -> Routed {
     match JobId::parse(id) {
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -8,7 +8,7 @@
 use crate::coordination::{CallId, Input};
 use crate::ids::Millis;
 use crate::protocol::Answer;
-use olivelatch_net::http::{LARGEST_BODY, Parsed, parse_request, write_response};
+use olivelatch_net::http::{JSON, LARGEST_BODY, OPEN_METRICS, Parsed, parse_request, write_response};
 use olivelatch_net::stream::{Flow, Stream};
 
 /// A request that is not whole by then, and a connection that says nothing.
@@ -43,6 +43,14 @@
     held: usize,
 }
 
+/// What the node shows to whoever asks.
+#[derive(Debug, Clone, Copy)]
+pub struct Facing {
+    pub ready: bool,
+    /// The operators' interface is on.
+    pub operators: bool,
+}
+
 pub struct Servers {
     open: Keyed<Server>,
     calls: HashMap<CallId, usize>,
@@ -138,11 +146,16 @@
         if reserved { MOST_INPUT } else { SCARCE }
     }
 
-    pub fn event(&mut self, common: &mut Common, key: usize, ready: bool) {
+    /// Open connections.
+    pub fn count_open(&self) -> u64 {
+        self.open.len() as u64
+    }
+
+    pub fn event(&mut self, common: &mut Common, key: usize, facing: Facing) {
         let Some(read) = self.fill(key) else {
             return;
         };
-        self.serve(common, key, ready);
+        self.serve(common, key, facing);
         let Some(server) = self.open.get_mut(&key) else {
             return;
         };
@@ -171,7 +184,7 @@
     }
 
     /// Takes requests from the buffer until one has to wait for its answer.
-    fn serve(&mut self, common: &mut Common, key: usize, ready: bool) {
+    fn serve(&mut self, common: &mut Common, key: usize, facing: Facing) {
         loop {
             let most = self.most_input(key);
             let Some(server) = self.open.get_mut(&key) else {
@@ -205,11 +218,11 @@
                 return;
             };
             server.keep_alive = request.keep_alive;
-            let routed = route(&request);
+            let routed = route(&request, facing.operators);
             server.worker = matches!(routed, Routed::Report(_));
             match routed {
                 Routed::Final(answer) => Self::respond(server, &answer),
-                Routed::Ready if ready => Self::respond(server, &Answer::json(200, &"ready")),
+                Routed::Ready if facing.ready => Self::respond(server, &Answer::json(200, &"ready")),
                 Routed::Ready => Self::respond(server, &Answer::later("not ready", 1)),
                 Routed::User(request) => {
                     let call = call_id(&mut self.next_call);
@@ -217,6 +230,12 @@
                     self.calls.insert(call, key);
                     common.inputs.push_back(Input::User { call, request });
                 }
+                Routed::Operator(request) => {
+                    let call = call_id(&mut self.next_call);
+                    server.call = Some(call);
+                    self.calls.insert(call, key);
+                    common.inputs.push_back(Input::Operator { call, request });
+                }
                 Routed::Report(report) => {
                     let call = call_id(&mut self.next_call);
                     server.call = Some(call);
@@ -229,7 +248,15 @@
 
     fn respond(server: &mut Server, answer: &Answer) {
         let mut bytes = Vec::with_capacity(answer.body.len() + 200);
-        write_response(&mut bytes, answer.status, answer.retry_after_s, &answer.body, server.keep_alive);
+        let sort = if answer.text { OPEN_METRICS } else { JSON };
+        write_response(
+            &mut bytes,
+            answer.status,
+            sort,
+            answer.retry_after_s,
+            &answer.body,
+            server.keep_alive,
+        );
         server.stream.queue(&bytes);
         server.call = None;
         server.closing = !server.keep_alive;
--- a/src/transport/timings.rs
+++ b/src/transport/timings.rs
@@ -14,28 +14,77 @@
 /// Longer than ten seconds counts as ten seconds.
 const LONGEST_US: u64 = 10_000_000;
 
+/// Upper bounds for scrapes, in microseconds.
+const BOUNDS_US: [u64; 10] = [20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 20_000, 100_000];
+
+/// How long a kind of event took, as a scrape shows it.
+#[derive(Debug, Clone)]
+pub struct Spread {
+    pub sum_s: f64,
+    pub count: u64,
+    /// Upper bound in seconds, and how many lie between the bound before and this one.
+    pub buckets: Vec<(f64, u64)>,
+}
+
+type ByKind = BTreeMap<&'static str, (Histogram<u32>, u64)>;
+
 /// Nothing is measured unless it is shown.
 #[derive(Default)]
 pub struct Timings {
-    kinds: BTreeMap<&'static str, (Histogram<u32>, u64)>,
+    kinds: ByKind,
     shown: Millis,
+    /// Since the start, for scrapes; None if there are none.
+    totals: Option<ByKind>,
+}
+
+fn record(kinds: &mut ByKind, kind: &'static str, us: u64) {
+    if !kinds.contains_key(kind) {
+        let Ok(histogram) = Histogram::new_with_bounds(1, LONGEST_US, 2) else { return };
+        kinds.insert(kind, (histogram, 0));
+    }
+    if let Some((histogram, sum)) = kinds.get_mut(kind) {
+        histogram.saturating_record(us);
+        *sum += us;
+    }
+}
+
+fn spread(histogram: &Histogram<u32>, sum_us: u64) -> Spread {
+    let mut buckets = Vec::with_capacity(BOUNDS_US.len() + 1);
+    let mut below = 0;
+    for bound in BOUNDS_US {
+        buckets.push((bound as f64 / 1e6, histogram.count_between(below, bound - 1)));
+        below = bound;
+    }
+    buckets.push((f64::INFINITY, histogram.count_between(below, u64::MAX)));
+    // What the buckets hold is the count, so that the two agree.
+    let count = buckets.iter().map(|(_, count)| count).sum();
+    Spread { sum_s: sum_us as f64 / 1e6, count, buckets }
 }
 
 impl Timings {
+    /// `scraped`: also kept since the start.
+    pub fn new(scraped: bool) -> Timings {
+        Timings { totals: scraped.then(BTreeMap::new), ..Timings::default() }
+    }
+
     pub fn start(&self) -> Option<Instant> {
-        log::log_enabled!(log::Level::Debug).then(Instant::now)
+        (self.totals.is_some() || log::log_enabled!(log::Level::Debug)).then(Instant::now)
+    }
+
+    /// All kinds since the start.
+    pub fn spreads(&self) -> Vec<(&'static str, Spread)> {
+        let totals = self.totals.iter().flatten();
+        totals.map(|(kind, (histogram, sum))| (*kind, spread(histogram, *sum))).collect()
     }
 
     pub fn stop(&mut self, kind: &'static str, started: Option<Instant>) {
         let Some(started) = started else { return };
         let us = (started.elapsed().as_micros() as u64).clamp(1, LONGEST_US);
-        if !self.kinds.contains_key(kind) {
-            let Ok(histogram) = Histogram::new_with_bounds(1, LONGEST_US, 2) else { return };
-            self.kinds.insert(kind, (histogram, 0));
+        if let Some(totals) = &mut self.totals {
+            record(totals, kind, us);
         }
-        if let Some((histogram, sum)) = self.kinds.get_mut(kind) {
-            histogram.saturating_record(us);
-            *sum += us;
+        if log::log_enabled!(log::Level::Debug) {
+            record(&mut self.kinds, kind, us);
         }
     }
 
--- a/src/tunables.rs
+++ b/src/tunables.rs
@@ -39,6 +39,51 @@
     pub drain_s: f64,
     /// Part of the time to a job's aim within which its tasks should all have started.
     pub haste: f64,
+    /// The operators' interface (docs/client.md).
+    pub operators: OperatorTunables,
+    pub log: LogTunables,
+}
+
+/// Off, its paths do not exist and nothing is recorded for it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OperatorTunables {
+    pub enabled: bool,
+    /// Decisions remembered of each job.
+    pub events_per_job: f64,
+    /// Lists, inspections and explanations worked out a second; beyond that clients are told to come back.
+    pub explains_per_s: f64,
+}
+
+impl Default for OperatorTunables {
+    fn default() -> Self {
+        OperatorTunables { enabled: false, events_per_job: 32.0, explains_per_s: 20.0 }
+    }
+}
+
+impl OperatorTunables {
+    /// Decisions remembered of each job; none while the interface is off.
+    pub fn events(&self) -> usize {
+        if self.enabled { self.events_per_job as usize } else { 0 }
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogTunables {
+    pub format: LogFormat,
+}
+
+/// How a line of the log is written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// Level, node, what happened.
+    #[default]
+    Text,
+    /// `key=value` pairs.
+    Logfmt,
+    Json,
 }
 
 impl Default for Tunables {
@@ -54,6 +99,8 @@
             idle_s: 45.0,
             drain_s: 40.0,
             haste: 0.5,
+            operators: OperatorTunables::default(),
+            log: LogTunables::default(),
         }
     }
 }
@@ -87,6 +134,8 @@
             ("idle_s", self.idle_s, 0.0, 1e6),
             ("drain_s", self.drain_s, 1.0, 1e6),
             ("haste", self.haste, 0.05, 1.0),
+            ("events_per_job", self.operators.events_per_job, 0.0, 1000.0),
+            ("explains_per_s", self.operators.explains_per_s, 0.1, 1e5),
         ];
         for (name, value, low, high) in ranges {
             if !(low..=high).contains(&value) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,11 +2,13 @@
 //! (coordination and bookkeeping), stand-ins around them, and the rules of the
 //! users' protocol checked at every start of a task. A failure names file and line.
 
+mod asked;
 mod standins;
 
 use std::collections::{BTreeMap, HashSet};
 use std::path::Path;
 
+use asked::{About, Asked, job_name};
 use olivelatch::coordination::node::Node;
 use olivelatch::coordination::{CallId, Clock, Input, Output};
 use olivelatch::ids::{JobId, Millis};
@@ -65,6 +67,9 @@
     txns: Txns,
     held_txns: Vec<Vec<u8>>,
     counters: BTreeMap<&'static str, u64>,
+    asked: Asked,
+    /// Final states when an operator's question went out: an answer must not be older.
+    known_then: BTreeMap<(usize, u64), BTreeMap<String, String>>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -79,6 +84,7 @@
 enum Call {
     User { id: String, expect: Option<u16>, raw: bool },
     Report { worker: usize, sent: u64, session: u64 },
+    Operator(About),
 }
 
 fn word<'a>(words: &[&'a str], name: &str) -> Option<&'a str> {
@@ -128,6 +134,8 @@
             txns: Txns::Fine,
             held_txns: Vec::new(),
             counters: BTreeMap::new(),
+            asked: Asked::default(),
+            known_then: BTreeMap::new(),
         }
     }
 
@@ -246,6 +254,12 @@
             Call::Report { worker, sent, session } => {
                 self.report_answered(worker, sent, session, answer.status, &body)
             }
+            Call::Operator(about) => {
+                let known = self.known_then.remove(&(at, call.0)).unwrap_or_default();
+                let wrong = self.asked.contradiction(&about, answer, &known);
+                let wrong = wrong.or(self.asked.answered(&about, answer, self.now).err());
+                self.broken.extend(wrong);
+            }
             Call::User { id, expect, raw } => {
                 if let Some(expect) = expect
                     && answer.status != expect
@@ -311,8 +325,22 @@
         self.tell(at, Input::User { call: CallId(call), request });
     }
 
+    /// Operators ask whoever runs, ready or not.
+    fn ask_as_operator(&mut self) {
+        for (about, request) in self.asked.due(self.now) {
+            let up: Vec<usize> = (0..self.nodes.len()).filter(|at| self.nodes[*at].node.is_some()).collect();
+            let Some(at) = up.get(self.next_call as usize % up.len().max(1)).copied() else { return };
+            self.next_call += 1;
+            let call = self.next_call;
+            self.calls.insert((at, call), Call::Operator(about));
+            self.known_then.insert((at, call), self.final_states.clone());
+            self.tell(at, Input::Operator { call: CallId(call), request });
+        }
+    }
+
     fn step(&mut self) {
         self.now += STEP_MS;
+        self.ask_as_operator();
         self.boot_machines();
         let lease = self.config["cluster"]["workers"]["lease_s"].as_f64().unwrap_or(12.0) * 1000.0;
         for at in 0..self.workers.len() {
@@ -546,6 +574,36 @@
                 }
                 self.final_states.get(&id).is_some_and(|known| known == status)
             }
+            ["explained", id, word] => {
+                self.asked.watch("explain", &job_name(id));
+                self.asked.says("explain", &job_name(id), word)
+            }
+            ["unexplained", id, word] => {
+                let id = job_name(id);
+                self.asked.watch("explain", &id);
+                self.asked.answer("explain", &id).is_some() && !self.asked.says("explain", &id, word)
+            }
+            ["noted", id, word] => {
+                self.asked.watch("events", &job_name(id));
+                self.asked.says("events", &job_name(id), word)
+            }
+            ["inspected", id, pointer, "=", value] => {
+                self.asked.watch("inspect", &job_name(id));
+                let found =
+                    self.asked.answer("inspect", &job_name(id)).and_then(|body| body.pointer(pointer));
+                found.is_some_and(|found| found.to_string().trim_matches('"') == *value)
+            }
+            ["figure", id, pointer, op, right] => {
+                self.asked.watch("explain", &job_name(id));
+                let found =
+                    self.asked.answer("explain", &job_name(id)).and_then(|body| body.pointer(pointer));
+                found.and_then(Value::as_f64).is_some_and(|found| compare(found as u64, op, right))
+            }
+            ["record", key, op @ ("has" | "lacks"), word] => {
+                let value = self.state.keys.get(*key).map(|entry| entry.0.to_string());
+                value.is_some_and(|value| value.contains(word) == (*op == "has"))
+            }
+            ["listed", op, right] => self.asked.walked().is_some_and(|rows| compare(rows as u64, op, right)),
             ["running", id, op, right] => {
                 let id = name(id);
                 let pieces = self.workers.iter().flat_map(|worker| &worker.pieces);
@@ -618,6 +676,25 @@
         Ok(())
     }
 
+    /// Turns the operators' interface on.
+    fn operators(&mut self, words: &[&str]) -> Done {
+        let settings = words.iter().map(|pair| format!("  {}\n", pair.replace('=', " = ")));
+        let block: String = settings.collect();
+        self.tunables.push_str(&format!("operators {{\n  enabled = true\n{block}}}\n"));
+        Ok(())
+    }
+
+    /// Walks the list of jobs page by page, with a pause after each.
+    fn list(&mut self, words: &[&str]) -> Done {
+        let filters: String = ["team", "class", "state"]
+            .iter()
+            .filter_map(|name| Some(format!("&{name}={}", word(words, name)?)))
+            .collect();
+        let (limit, pause) = (number(words, "limit", 100.0), number(words, "pause", 0.0));
+        self.asked.start_walk(self.now, limit as u64, (pause * 1000.0) as u64, &filters);
+        Ok(())
+    }
+
     fn team(&mut self, words: &[&str]) -> Done {
         let (name, rest) = words.split_first().ok_or("a name")?;
         let team = json!({"name": name, "cpus": number(rest, "guaranteed", 0.0),
@@ -893,6 +970,8 @@
 const VERBS: &[(&str, Verb)] = &[
     ("settings", World::settings),
     ("tunable", World::tunable),
+    ("operators", World::operators),
+    ("list", World::list),
     ("team", World::team),
     ("objective", World::objective),
     ("kind", World::kind),
