--- /dev/null
+++ b/crates/cli/tests/measure.rs
@@ -0,0 +1,219 @@
+//! Measurements on loopback, for docs/measurements.md; not part of CI:
+//!     cargo test --release -p latch --test measure -- --ignored --nocapture --test-threads 1
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+const LATCH: &str = env!("CARGO_BIN_EXE_latch");
+
+struct Region {
+    folder: tempfile::TempDir,
+    child: Child,
+    controllers: Vec<SocketAddr>,
+}
+
+fn request(addr: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(2)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    Some((status, text.split_once("\r\n\r\n")?.1.to_string()))
+}
+
+impl Region {
+    fn start(machines: &str) -> Region {
+        let folder = tempfile::tempdir().expect("a folder");
+        let child = Command::new(LATCH)
+            .args(["up", "--machines", machines, "--state"])
+            .arg(folder.path())
+            .args(["--log-level", "error"])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let plan = folder.path().join("region.json");
+        let end = Instant::now() + Duration::from_secs(30);
+        let mut controllers = Vec::new();
+        while controllers.is_empty() && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(100));
+            let Ok(text) = std::fs::read_to_string(&plan) else { continue };
+            let plan: Value = serde_json::from_str(&text).expect("a plan");
+            let all = plan["controllers"].as_array().expect("controllers");
+            let addrs: Vec<SocketAddr> =
+                all.iter().map(|a| a.as_str().expect("one").parse().expect("an address")).collect();
+            let leads = |addr: &SocketAddr| {
+                request(*addr, "GET", "/v1/status", "")
+                    .is_some_and(|(_, body)| body.contains("\"leads\":true"))
+            };
+            if addrs.iter().any(leads) {
+                controllers = addrs;
+            }
+        }
+        assert!(!controllers.is_empty(), "no leader");
+        Region { folder, child, controllers }
+    }
+
+    fn latch(&self, arguments: &[&str]) -> String {
+        let contexts = self.folder.path().join("contexts.hcl");
+        let output =
+            Command::new(LATCH).arg("--contexts").arg(contexts).args(arguments).output().expect("it runs");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+}
+
+impl Drop for Region {
+    fn drop(&mut self) {
+        let _ = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        let _ = self.child.wait();
+    }
+}
+
+fn quantiles(mut all: Vec<f64>) -> String {
+    all.sort_by(f64::total_cmp);
+    let at = |share: f64| all[((all.len() - 1) as f64 * share) as usize];
+    let mean = all.iter().sum::<f64>() / all.len() as f64;
+    format!(
+        "mean {mean:.2} ms, p50 {:.2}, p90 {:.2}, p99 {:.2} ms of {}",
+        at(0.5),
+        at(0.9),
+        at(0.99),
+        all.len()
+    )
+}
+
+fn submission(id: u64) -> String {
+    json!({"uid": format!("job-{id:06}"), "jobclass": "work", "owner": "default", "shape": "array", "urgency": "low",
+        "pieces": 1, "vcpus": 1000.0, "accelerators": 0.0, "memory_gb": 1.0, "bundle": "i", "size_gb": 0.0, "together": false,
+        "scatter": false, "loaners": false, "guess_s": 1.0, "snapshot_s": 0.0, "flush_s": 0.0})
+    .to_string()
+}
+
+/// Submissions (which are refused with 422 only after the read that a poll needs) and polls, one after the other.
+fn latencies(region: &Region, first: u64) -> (Vec<f64>, Vec<f64>) {
+    let (mut submits, mut reports) = (Vec::new(), Vec::new());
+    for at in 0..300 {
+        let addr = region.controllers[at as usize % region.controllers.len()];
+        let start = Instant::now();
+        let (status, _) = request(addr, "POST", "/work", &submission(first + at)).expect("an answer");
+        submits.push(start.elapsed().as_secs_f64() * 1000.0);
+        assert_eq!(status, 422);
+        let report = json!({"box": "probe", "endpoint": "127.0.0.1:9", "boxkind": "local", "hall": "here", "loaners": false,
+            "shift": 1, "tick": at + first, "baton": 0, "pieces": []});
+        let start = Instant::now();
+        request(addr, "POST", "/v1/report", &report.to_string()).expect("an answer");
+        reports.push(start.elapsed().as_secs_f64() * 1000.0);
+    }
+    (submits, reports)
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn slow_killed_and_greedy_clients() {
+    let region = Region::start("4");
+    latencies(&region, 1_000_000);
+    let (submits, reports) = latencies(&region, 2_000_000);
+    println!("alone: submissions {}\n       reports     {}", quantiles(submits), quantiles(reports));
+    let mut open = Vec::new();
+    for at in 0..2_000 {
+        let addr = region.controllers[at % region.controllers.len()];
+        let Ok(mut stream) = TcpStream::connect(addr) else { continue };
+        match at % 10 {
+            // Readers that ask for lists again and again and read nothing.
+            0 => drop(stream.write_all("GET /v1/jobs?limit=500 HTTP/1.1\r\n\r\n".repeat(20).as_bytes())),
+            // Half a request.
+            1 => drop(stream.write_all(b"POST /work HTTP/1.1\r\nContent-Length: 1000\r\n\r\n{\"uid\"")),
+            _ => {}
+        }
+        open.push(stream);
+    }
+    let (submits, reports) = latencies(&region, 3_000_000);
+    println!(
+        "beside {} slow clients: submissions {}\n       reports     {}",
+        open.len(),
+        quantiles(submits),
+        quantiles(reports)
+    );
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn submit_to_start() {
+    let region = Region::start("2");
+    region.latch(&["submit", "--wait", "--", "true"]);
+    let mut waits = Vec::new();
+    for _ in 0..40 {
+        let before =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_millis();
+        let text = region.latch(&["--json", "submit", "--", "date", "+%s%3N"]);
+        let submitted: Value = serde_json::from_str(&text).expect("JSON");
+        let id = submitted["id"].as_str().expect("an id").to_string();
+        region.latch(&["wait", &id]);
+        let log = region.latch(&["logs", &id]);
+        let started: u128 = log.lines().last().expect("a line").trim().parse().expect("a time");
+        waits.push(started.saturating_sub(before) as f64);
+    }
+    println!("from the start of `latch submit` to the command's own clock: {}", quantiles(waits));
+}
+
+fn runs(folder: &Path) -> (usize, f64) {
+    let text = std::fs::read_to_string(folder.join("runs.jsonl")).expect("the record");
+    let values: Vec<Value> = text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+    let at = |value: &Value| value["at_ms"].as_u64().unwrap_or(0);
+    let starts = values.iter().filter(|value| value["event"] == "start").count();
+    let first = values.iter().map(at).min().unwrap_or(0);
+    let last = values.iter().map(at).max().unwrap_or(0);
+    (starts, (last - first) as f64 / 1000.0)
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn tasks_a_second() {
+    const TASKS: usize = 4_000;
+    let region = Region::start("4");
+    let count = TASKS.to_string();
+    region.latch(&[
+        "submit",
+        "--wait",
+        "--tasks",
+        &count,
+        "--cpus",
+        "0.1",
+        "--memory-gb",
+        "0.01",
+        "--guess-s",
+        "0.01",
+        "--",
+        "true",
+    ]);
+    let (starts, seconds) = runs(region.folder.path());
+    println!(
+        "latch up, 4 machines of 4 CPUs, tasks of 0.1 CPU: {starts} starts in {seconds:.2} s, {:.0} a second",
+        starts as f64 / seconds
+    );
+    let start = Instant::now();
+    for _ in 0..TASKS {
+        Command::new("true").status().expect("it runs");
+    }
+    println!(
+        "one after the other by themselves: {:.0} a second",
+        TASKS as f64 / start.elapsed().as_secs_f64()
+    );
+    let start = Instant::now();
+    let threads: Vec<_> = (0..8)
+        .map(|_| std::thread::spawn(|| (0..TASKS / 8).for_each(|_| drop(Command::new("true").status()))))
+        .collect();
+    threads.into_iter().for_each(|thread| thread.join().expect("a thread"));
+    println!("eight at once by themselves: {:.0} a second", TASKS as f64 / start.elapsed().as_secs_f64());
+}
--- a/crates/client/src/jobs.rs
+++ b/crates/client/src/jobs.rs
@@ -238,6 +238,15 @@
         assert_eq!(prepared[0].description.as_ref().map(|d| d["run"]["env"]["X"].clone()), Some(json!("1")));
     }
 
+    #[test]
+    fn the_examples_are_good() {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+        let files = std::fs::read_dir(folder).expect("the examples").flatten();
+        let checked = files
+            .map(|file| JobFile::load(&file.path()).and_then(|f| f.prepare()).expect("a good file").len());
+        assert!(checked.sum::<usize>() > 0);
+    }
+
     /// Each mistake is named with its place and what was expected, before anything is sent.
     #[test]
     fn mistakes_are_named() {
--- /dev/null
+++ b/tests/random.rs
@@ -0,0 +1,142 @@
+//! Random and damaged input at every door: an answer or a refusal, never a panic, never more held than came in.
+//! The cases are the same in every run.
+
+use olivelatch::protocol::mesh::{MeshMessage, Question, decode, encode};
+use olivelatch::protocol::operators::read_operator;
+use olivelatch::protocol::users::read_submission;
+use olivelatch::protocol::workers::read_report;
+use olivelatch::settings::Settings;
+use olivelatch::tunables::Tunables;
+use olivelatch_net::http::{Parsed, parse_request, parse_response};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const CASES: u32 = 2_000;
+
+fn runner() -> TestRunner {
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn bytes() -> impl Strategy<Value = Vec<u8>> {
+    proptest::collection::vec(any::<u8>(), 0..400)
+}
+
+/// A text with some of its bytes changed, cut short at some place.
+fn damaged(text: &'static [u8]) -> impl Strategy<Value = Vec<u8>> {
+    let changes = proptest::collection::vec((0..text.len(), any::<u8>()), 0..6);
+    (changes, 0..=text.len()).prop_map(move |(changes, cut)| {
+        let mut bytes = text.to_vec();
+        changes.into_iter().for_each(|(at, byte)| bytes[at] = byte);
+        bytes.truncate(cut);
+        bytes
+    })
+}
+
+#[test]
+fn requests_of_operators_are_read_or_refused() {
+    let words = "(jobs|status|job-[0-9]{1,20}|explain|events|/|\\?|%|[a-z0-9]{0,9}){0,6}";
+    let query = "((after|limit|team|class|state|task)?=?[a-z0-9-]{0,20}&?){0,6}";
+    let checked = runner().run(&(words, query), |(path, query)| {
+        if let Some(Err(answer)) = read_operator(&path, &query) {
+            prop_assert!([400, 404].contains(&answer.status));
+            prop_assert!(answer.body.len() < 1000);
+        }
+        Ok(())
+    });
+    checked.expect("every request is answered");
+}
+
+const SUBMISSION: &[u8] = br#"{"uid":"job-000412","jobclass":"c","owner":"o","shape":"gang","urgency":"high","pieces":16,
+    "vcpus":8.0,"accelerators":1.0,"memory_gb":64.0,"bundle":"i","size_gb":6.2,"boxkinds":["g8"],"hall":null,"together":true,
+    "scatter":false,"loaners":true,"guess_s":240.0,"snapshot_s":30.0,"flush_s":4.0,"due_s":900.0}"#;
+
+#[test]
+fn bodies_of_users_and_workers_are_read_or_refused() {
+    let checked = runner().run(&(damaged(SUBMISSION), bytes()), |(body, noise)| {
+        for body in [&body, &noise] {
+            if let Err(answer) = read_submission(body) {
+                prop_assert_eq!(answer.status, 400);
+            }
+            let _ = read_report(body);
+        }
+        Ok(())
+    });
+    checked.expect("every body is answered");
+}
+
+const REQUEST: &[u8] =
+    b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nConnection: close\r\n\r\nabcd";
+const RESPONSE: &[u8] =
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nRetry-After: 3\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
+
+/// No message takes more of the buffer than there is.
+#[test]
+fn http_is_parsed_or_refused() {
+    let checked =
+        runner().run(&(damaged(REQUEST), damaged(RESPONSE), bytes()), |(request, response, noise)| {
+            for bytes in [&request, &response, &noise] {
+                if let Parsed::Whole(request, taken) = parse_request(bytes) {
+                    prop_assert!(taken <= bytes.len() && request.body.len() <= bytes.len());
+                }
+                if let Parsed::Whole(response, taken) = parse_response(bytes, 1000) {
+                    prop_assert!(taken <= bytes.len() && response.body.len() <= bytes.len());
+                }
+            }
+            Ok(())
+        });
+    checked.expect("every message is parsed or refused");
+}
+
+/// Controllers validate what they hear: damaged frames are refused, or are another message that could have been sent.
+#[test]
+fn mesh_messages_are_validated() {
+    let whole = [
+        MeshMessage::Ask { ask: 7, question: Question::Explain { job: 412, task: Some(3) } },
+        MeshMessage::Told {
+            ask: 7,
+            status: 503,
+            retry_after_s: Some(1),
+            body: b"{\"error\":\"later\"}".to_vec(),
+        },
+        MeshMessage::Hello { node: "node-1".into() },
+    ];
+    let frames: Vec<Vec<u8>> = whole.iter().map(|message| encode(message)[4..].to_vec()).collect();
+    for (frame, message) in frames.iter().zip(&whole) {
+        assert_eq!(decode(frame).as_ref(), Some(message));
+        for cut in 0..frame.len() {
+            assert!(decode(&frame[..cut]).as_ref() != Some(message), "cut at {cut}");
+        }
+    }
+    let change = proptest::collection::vec((any::<usize>(), any::<u8>()), 1..8);
+    let checked = runner().run(&(change, bytes(), 0..3_usize), |(changes, noise, which)| {
+        let mut frame = frames[which].clone();
+        let length = frame.len();
+        changes.into_iter().for_each(|(at, byte)| frame[at % length] = byte);
+        for bytes in [&frame, &noise] {
+            if let Some(MeshMessage::Told { body, .. }) = decode(bytes) {
+                prop_assert!(body.len() <= bytes.len());
+            }
+        }
+        Ok(())
+    });
+    checked.expect("every frame is refused or read");
+}
+
+const TUNABLES: &[u8] = b"t = 0.5\nidle_s = 45\noperators {\n  enabled = true\n  explains_per_s = 20\n}\nlog {\n  format = \"json\"\n}\n";
+
+#[test]
+fn settings_are_read_or_refused() {
+    assert!(Tunables::parse("f", std::str::from_utf8(TUNABLES).expect("text")).is_ok());
+    let checked = runner().run(&(damaged(TUNABLES), bytes()), |(tunables, noise)| {
+        for bytes in [&tunables, &noise] {
+            let text = String::from_utf8_lossy(bytes);
+            if let Err(problem) = Tunables::parse("f", &text) {
+                prop_assert!(problem.to_string().starts_with('f'));
+            }
+            let _ = Settings::parse("f", &text);
+        }
+        Ok(())
+    });
+    checked.expect("every file is read or refused");
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,6 +11,7 @@
 use olivelatch::coordination::node::Node;
 use olivelatch::coordination::{CallId, Clock, Input, Output};
 use olivelatch::ids::{JobId, Millis};
+use olivelatch::protocol::operators::read_operator;
 use olivelatch::protocol::users::{UserRequest, read_submission};
 use olivelatch::protocol::workers::read_report;
 use olivelatch::protocol::{Answer, Outcome};
@@ -1123,6 +1124,100 @@
     assert!(failed.is_empty(), "{} of {} scenarios:\n{}", failed.len(), files.len(), failed.join("\n"));
 }
 
+/// For docs/measurements.md, not part of CI:
+///     cargo test --release --test scenarios -- --ignored --nocapture
+#[test]
+#[ignore = "a measurement"]
+fn lists_and_explanations_at_size() {
+    let mut world = World::new();
+    let lines = [
+        "operators explains_per_s=100000",
+        "settings state rps=100000 write_rps=100000",
+        "team core max=5200",
+        "kind small cpus=4 boot=2 count=0",
+        "machines small a 1300",
+        "nodes a b c",
+        "until 5 leader = any",
+        "until 30 workers = 1300",
+        "submit 900001 tasks=5200 run=1000 guess=1000",
+        "until 60 tasks >= 5000",
+        "submit 900002 tasks=100 run=10",
+        "advance 5",
+    ];
+    for at in 0..100_000_u64 {
+        let detail = json!({"team": "core", "class": "work", "tasks": 3, "accepted": 5});
+        world
+            .state
+            .put(&format!("olivelatch/end/job-{at:06}"), json!({"end": "done", "at": 7, "detail": detail}));
+    }
+    for line in lines {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        world.command(&words).expect(line);
+    }
+    let at = world.node("leader");
+    let follower = (at + 1) % 3;
+    for (what, at, path) in [
+        ("explain, a job behind its team's limit", at, "jobs/job-900002/explain"),
+        ("explain, a job of 5,200 running tasks", at, "jobs/job-900001/explain"),
+        ("list, 500 of 100,000 ended", at, "jobs?limit=500"),
+        ("list, live ones behind 100,000 ended", at, "jobs?state=live&limit=500"),
+        ("list, 500 of 100,000 ended, a follower", follower, "jobs?limit=500"),
+        ("inspect, 500 tasks of 5,200", at, "jobs/job-900001?limit=500"),
+        ("explain once more, behind the team's limit", at, "jobs/job-900002/explain"),
+    ] {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let mut took = Vec::new();
+        let mut bytes = 0;
+        for _ in 0..50 {
+            let request = read_operator(path, query).expect("a path").expect("a question");
+            world.next_call += 1;
+            let call = CallId(world.next_call);
+            let clock = world.clock();
+            let node = world.nodes[at].node.as_mut().expect("a node");
+            node.take(clock, Input::Operator { call, request });
+            // Its poll and the barrier: what the node does until the answer is there.
+            for _ in 0..20 {
+                world.now += STEP_MS;
+                let clock = world.clock();
+                let Some(node) = world.nodes[at].node.as_mut() else { continue };
+                let outputs = node.step(clock);
+                let mut answered = false;
+                for output in outputs {
+                    if let Output::State { ask, request, .. } = output {
+                        let asked = request.to_call();
+                        let (status, body) =
+                            world.state.call(asked.method, &asked.path, &asked.body, world.now);
+                        let outcome = Outcome::Response { status, body: body.to_string().into_bytes() };
+                        let node = world.nodes[at].node.as_mut().expect("a node");
+                        let started = std::time::Instant::now();
+                        let out = node.take(clock, Input::State { ask, outcome });
+                        for output in out {
+                            if let Output::Answer { call: answered_call, answer } = output
+                                && answered_call == call
+                            {
+                                took.push(started.elapsed().as_micros() as u64);
+                                bytes = answer.body.len();
+                                answered = true;
+                            }
+                        }
+                    }
+                }
+                if answered {
+                    break;
+                }
+            }
+            // Workers and the other nodes go on meanwhile.
+            (0..25).for_each(|_| world.step());
+        }
+        took.sort_unstable();
+        println!(
+            "{what}: {} us in the median, {} at most, {bytes} bytes",
+            took[took.len() / 2],
+            took[took.len() - 1]
+        );
+    }
+}
+
 /// The runner itself must be able to fail, and must say where.
 #[test]
 fn a_wrong_scenario_fails_and_names_its_line() {
