--- a/crates/cli/tests/measure.rs
+++ b/crates/cli/tests/measure.rs
@@ -118,13 +118,25 @@
     (submits, reports)
 }
 
+fn show_latencies(region: &Region, what: &str, first: u64) {
+    let (submits, reports) = latencies(region, first);
+    println!("{what}: submissions {}\n       reports     {}", quantiles(submits), quantiles(reports));
+}
+
 #[test]
 #[ignore = "a measurement"]
 fn slow_killed_and_greedy_clients() {
     let region = Region::start("4");
     latencies(&region, 1_000_000);
-    let (submits, reports) = latencies(&region, 2_000_000);
-    println!("alone: submissions {}\n       reports     {}", quantiles(submits), quantiles(reports));
+    show_latencies(&region, "alone", 2_000_000);
+    show_latencies(&region, "alone, again", 3_000_000);
+    let idle: Vec<TcpStream> = (0..2_000)
+        .filter_map(|at| TcpStream::connect(region.controllers[at % region.controllers.len()]).ok())
+        .collect();
+    show_latencies(&region, "beside 2,000 that say nothing", 4_000_000);
+    drop(idle);
+    std::thread::sleep(Duration::from_secs(1));
+    show_latencies(&region, "after they have gone", 5_000_000);
     let mut open = Vec::new();
     for at in 0..2_000 {
         let addr = region.controllers[at % region.controllers.len()];
@@ -138,13 +150,14 @@
         }
         open.push(stream);
     }
-    let (submits, reports) = latencies(&region, 3_000_000);
-    println!(
-        "beside {} slow clients: submissions {}\n       reports     {}",
-        open.len(),
-        quantiles(submits),
-        quantiles(reports)
+    show_latencies(
+        &region,
+        "beside 2,000, 200 of them readers that do not read, 200 with half a request",
+        6_000_000,
     );
+    drop(open);
+    std::thread::sleep(Duration::from_secs(1));
+    show_latencies(&region, "after all were killed", 7_000_000);
 }
 
 #[test]
--- a/crates/region/src/cloud.rs
+++ b/crates/region/src/cloud.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use olivelatch_store::query;
+use olivelatch_worker::Machine;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
@@ -36,6 +38,23 @@
     pub failed: bool,
 }
 
+impl Rented {
+    /// The machine as its worker knows it, served at `endpoint`.
+    pub fn machine(&self, kind: &KindSpec, endpoint: String) -> Machine {
+        Machine {
+            name: self.name.clone(),
+            endpoint,
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            cpus: kind.cpus,
+            gpus: kind.gpus,
+            memory_gb: kind.memory,
+            fetch_gb_per_s: kind.fetch,
+        }
+    }
+}
+
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Cloud {
     pub kinds: Vec<KindSpec>,
@@ -45,11 +64,6 @@
     pub released: Vec<String>,
 }
 
-fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
-    let (_, query) = path.split_once('?')?;
-    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-}
-
 /// Most machines of one request, and of one page.
 const MOST_RENTED: u64 = 50;
 const MOST_LISTED: usize = 500;
--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -11,7 +11,7 @@
 use olivelatch_net::poll::Keys;
 use olivelatch_net::server::Port;
 use olivelatch_worker::processes::{Exit, Key, Processes};
-use olivelatch_worker::{Effect, GangTimes, Machine, Phase, Work, Worker, coordinate};
+use olivelatch_worker::{Effect, GangTimes, Phase, Work, Worker, coordinate};
 use serde_json::{Value, json};
 
 use crate::cloud::{KindSpec, Rented};
@@ -84,17 +84,7 @@
         desk: &Desk,
         now: u64,
     ) {
-        let machine = Machine {
-            name: rented.name.clone(),
-            endpoint: endpoint.to_string(),
-            kind: rented.kind.clone(),
-            zone: rented.zone.clone(),
-            spot: rented.spot,
-            cpus: kind.cpus,
-            gpus: kind.gpus,
-            memory_gb: kind.memory,
-            fetch_gb_per_s: kind.fetch,
-        };
+        let machine = rented.machine(kind, endpoint.to_string());
         let mut worker = Worker::new(machine, now);
         desk.results.iter().for_each(|task| worker.knows_result(task));
         let home = port.0 % self.controllers.len().max(1);
--- a/crates/region/src/region.rs
+++ b/crates/region/src/region.rs
@@ -11,7 +11,7 @@
 use olivelatch_net::caller::Caller;
 use olivelatch_net::poll::{Gate, Keys, Watch};
 use olivelatch_net::server::{Conn, HttpServer, Incoming, Port};
-use olivelatch_store::{Engine, File, Saved, StoreError};
+use olivelatch_store::{Engine, File, Saved, StoreError, query};
 use olivelatch_worker::processes::Processes;
 use polling::{Event, Events};
 use serde_json::{Value, json};
@@ -279,8 +279,10 @@
 
     /// A request for changes that has none to give yet and may wait for them.
     fn watch(&self, conn: Conn, method: &str, path: &str, now: u64) -> Option<Waiting> {
-        let query = path.strip_prefix("/changes?").filter(|_| method == "GET")?;
-        let value = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        if method != "GET" || !path.starts_with("/changes?") {
+            return None;
+        }
+        let value = |name: &str| query(path, name);
         let block_ms = value("block_ms")?.parse::<u64>().ok().filter(|ms| *ms > 0)?.min(60_000);
         let after = value("after")?.parse().ok()?;
         let prefix = value("starts").unwrap_or("").to_string();
--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -61,7 +61,8 @@
     durable: bool,
 }
 
-fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+/// The value of a name in the query of a path.
+pub fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = path.split_once('?')?;
     query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,6 @@
 mod file;
 mod limits;
 
-pub use engine::{Delta, Engine, Reply};
+pub use engine::{Delta, Engine, Reply, query};
 pub use file::{File, Saved, StoreError};
 pub use limits::Limits;
--- a/src/bookkeeping/listing.rs
+++ b/src/bookkeeping/listing.rs
@@ -2,7 +2,7 @@
 
 use super::jobs::{End, Job};
 use super::mirror::Mirror;
-use crate::ids::JobId;
+use crate::ids::{JobId, units};
 use crate::protocol::operators::{JobRow, JobState, ListQuery, SpecView, StateFilter};
 
 /// Jobs looked at for one page. With a filter that takes few, pages come short and say where to go on.
@@ -95,7 +95,6 @@
 pub fn spec_of(mirror: &Mirror, job: &Job) -> SpecView {
     let info = &job.info;
     let names = &mirror.names;
-    let units = |milli: u64| milli as f64 / 1000.0;
     let kinds = info.kinds.as_ref();
     SpecView {
         shape: info.shape,
--- a/src/coordination/leader/explain.rs
+++ b/src/coordination/leader/explain.rs
@@ -8,17 +8,13 @@
 use super::{Binding, Leader, Life, Work};
 use crate::bookkeeping::jobs::Registry;
 use crate::coordination::Clock;
-use crate::ids::{Amount, JobIx, KindIx, MachineIx};
+use crate::ids::{Amount, JobIx, KindIx, MachineIx, units};
 use crate::protocol::operators::{JobShare, KindRoom, OfferView, Reason};
 use crate::protocol::workers::TaskState;
 
 /// Jobs and machines named in one reason.
 const MOST_NAMED: usize = 5;
 
-fn units(milli: u64) -> f64 {
-    milli as f64 / 1000.0
-}
-
 /// Where the tasks of a job that are on machines stand.
 #[derive(Default)]
 struct Placed {
--- a/src/coordination/leader/inspect.rs
+++ b/src/coordination/leader/inspect.rs
@@ -5,14 +5,10 @@
 use super::journal::Noted;
 use super::{Binding, Leader, Life};
 use crate::bookkeeping::jobs::Registry;
-use crate::ids::{JobId, JobIx, MachineIx};
+use crate::ids::{JobId, JobIx, MachineIx, units};
 use crate::protocol::operators::{EventRow, LeaderStatus, TaskRow, TaskWord, TeamStatus};
 use crate::protocol::workers::TaskState;
 
-fn units(milli: u64) -> f64 {
-    milli as f64 / 1000.0
-}
-
 impl Leader {
     /// Tasks of a job that are not done, from behind `after` on, and where the next page begins.
     pub fn task_rows(&self, ix: JobIx, after: Option<u32>, limit: usize) -> (Vec<TaskRow>, Option<u32>) {
--- a/src/coordination/node/operators.rs
+++ b/src/coordination/node/operators.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::mirror::Mirror;
 use crate::coordination::operators::{Asker, COME_BACK_S, deliver};
 use crate::coordination::{CallId, Clock, Output};
-use crate::ids::{JobId, Millis};
+use crate::ids::{JobId, Millis, units};
 use crate::protocol::Answer;
 use crate::protocol::mesh::{LARGEST_FRAME, Question};
 use crate::protocol::operators::{
@@ -81,7 +81,7 @@
             return later("the state service does not answer this controller");
         };
         let since = self.ledger.failing_since.map_or(0, |since| clock.now.since(since));
-        let reason = Reason::StateUnreachable { since_s: since as f64 / 1000.0 };
+        let reason = Reason::StateUnreachable { since_s: units(since) };
         let explanation = self.explanation(*id, *task, vec![reason]);
         // Whether the job exists is not known either.
         Answer::json(200, &explanation)
@@ -259,7 +259,6 @@
     /// This controller as operators see it.
     pub fn status(&self, clock: Clock) -> NodeStatus {
         let (live, ended) = self.mirror.counts();
-        let seconds = |ms: u64| ms as f64 / 1000.0;
         NodeStatus {
             node: self.settings.node.clone(),
             zone: self.settings.zone.clone(),
@@ -267,13 +266,13 @@
             leads: self.leader.is_some(),
             leader: self.mirror.leader.as_ref().map(|leader| leader.node.clone()),
             revision: self.mirror.revision.0,
-            mirror_age_s: self.ledger.fresh.map(|fresh| seconds(clock.now.since(fresh))),
+            mirror_age_s: self.ledger.fresh.map(|fresh| units(clock.now.since(fresh))),
             state_reachable: self.ledger.loaded && self.ledger.reachable(clock.now),
             jobs_live: live as u64,
             jobs_ended: ended as u64,
             requests_held: self.users.held() as u64,
             takeovers: self.takeovers,
-            uptime_s: seconds(clock.now.since(self.started)),
+            uptime_s: units(clock.now.since(self.started)),
             work: self.leader.as_ref().map(|leader| leader.figures(&self.mirror.names)),
         }
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -213,6 +213,11 @@
     (value * 1000.0 + 1e-6).floor().max(0.0) as u64
 }
 
+/// Thousandths as people write them: CPUs, GB, seconds.
+pub fn units(milli: u64) -> f64 {
+    milli as f64 / 1000.0
+}
+
 pub fn seconds(value: f64) -> u64 {
     (value * 1000.0).round().max(0.0) as u64
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -17,9 +17,9 @@
 use olivelatch::protocol::{Answer, Outcome};
 use olivelatch::settings::Settings;
 use olivelatch::tunables::Tunables;
-use olivelatch_region::{Cloud, KindSpec, Rented};
+use olivelatch_region::{Cloud, KindSpec};
 use olivelatch_store::Engine;
-use olivelatch_worker::{Description, Descriptions, GangTimes, Machine, Work, Worker, coordinate};
+use olivelatch_worker::{Description, Descriptions, GangTimes, Work, Worker, coordinate};
 use serde_json::{Value, json};
 
 const STEP_MS: u64 = 20;
@@ -434,7 +434,9 @@
             let known = self.workers.iter().any(|worker| worker.machine.name == machine.name);
             if machine.up_at <= self.now && !known {
                 let kind = self.cloud.kinds.iter().find(|kind| kind.name == machine.kind).cloned();
-                self.workers.push(worker_on(machine, &kind.expect("a known kind"), self.now));
+                let kind = kind.expect("a known kind");
+                let on = machine.machine(&kind, machine.endpoint.clone());
+                self.workers.push(Worker::new(on, self.now));
                 self.worker_node.push((self.workers.len() % self.nodes.len(), self.now, None));
             }
         }
@@ -1077,21 +1079,6 @@
     Ok((job.to_string(), job))
 }
 
-fn worker_on(rented: &Rented, kind: &KindSpec, now: u64) -> Worker {
-    let machine = Machine {
-        name: rented.name.clone(),
-        endpoint: rented.endpoint.clone(),
-        kind: rented.kind.clone(),
-        zone: rented.zone.clone(),
-        spot: rented.spot,
-        cpus: kind.cpus,
-        gpus: kind.gpus,
-        memory_gb: kind.memory,
-        fetch_gb_per_s: kind.fetch,
-    };
-    Worker::new(machine, now)
-}
-
 /// Plays one file; the error names the line.
 fn play(path: &Path) -> Result<(), String> {
     let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
