What a killed region leaves running is ended when it starts again, controllers too

Cause: trying it as a new user showed controllers of killed regions still running: leftovers are ended by process group, and controllers had none of their own, so they served on beside the new region and kept its ports. Change: controllers get a group; a new region waits until leftovers are gone.

--- a/crates/cli/tests/region.rs
+++ b/crates/cli/tests/region.rs
@@ -123,9 +123,9 @@
     }
 }
 
-impl Drop for Region {
-    fn drop(&mut self) {
-        // Politely, so that it ends what it has started.
+impl Region {
+    /// Politely, so that it ends what it has started.
+    fn end(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
             let end = Instant::now() + Duration::from_secs(10);
@@ -138,6 +138,12 @@
     }
 }
 
+impl Drop for Region {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 const SHORT: [&str; 4] = ["--", "sh", "-c", "sleep 0.1; echo $OLIVELATCH_TASK"];
 
 /// The leader, then all controllers, then the whole region are killed during a batch. Afterwards the client lists every
@@ -173,11 +179,16 @@
     let told = region.json(&["cancel", &endless]);
     assert_eq!(told[0]["state"], "withdrawn");
 
+    region.until("all controllers are back", |region| region.controller_pids().len() == 3);
+    let left = region.controller_pids();
     region.kill();
     // Whoever asks now is told that nobody answers, not an old state.
     let silent = region.latch(&["--deadline", "1", "list"]);
     assert_eq!(silent.status.code(), Some(3), "{}", String::from_utf8_lossy(&silent.stderr));
     region.up();
+    // What the killed region left behind does not go on beside the new one.
+    let gone = |region: &Region| region.controller_pids().iter().all(|pid| !left.contains(pid));
+    region.until("the leftovers are ended", gone);
     let waited = region.latch(&["wait", &wide, &narrow, &gang, "--timeout", "90"]);
     assert!(waited.status.success(), "{}", String::from_utf8_lossy(&waited.stderr));
     assert_eq!(region.json(&["cancel", &broken])[0]["state"], "withdrawn");
@@ -206,6 +217,8 @@
     assert!(done.get(&broken).is_none_or(BTreeSet::is_empty));
     let logs = region.latch(&["logs", &wide, "17"]);
     assert!(String::from_utf8_lossy(&logs.stdout).contains("\n17\n"), "its output is there");
+    region.end();
+    assert!(region.controller_pids().is_empty(), "ended politely, it ends all that it started");
 }
 
 /// The office waits for its team's limit: explain names the limit, who uses it and how much, and then no more.
--- a/crates/region/src/controllers.rs
+++ b/crates/region/src/controllers.rs
@@ -3,6 +3,7 @@
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -118,6 +119,8 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
+            // A group of its own, as tasks have: whoever finds it left over ends it by that.
+            .process_group(0)
             .spawn()
     }
 
--- a/crates/worker/src/processes.rs
+++ b/crates/worker/src/processes.rs
@@ -6,6 +6,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command as Program, Stdio};
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process_group};
 
@@ -181,9 +182,13 @@
     }
 }
 
-/// Ends what the file names, if it is still the same process.
+/// Until leftovers are gone, with the ports they listen on.
+const GONE_MS: u64 = 2_000;
+
+/// Ends what the file names, if it is still the same process, and waits until it is gone.
 fn end_leftovers(pids: &Path) {
     let Ok(text) = std::fs::read_to_string(pids) else { return };
+    let mut ended = Vec::new();
     for line in text.lines() {
         let Some((pid, at)) = line.split_once(' ') else { continue };
         if let (Ok(pid), Ok(at)) = (pid.parse::<u32>(), at.parse::<u64>())
@@ -191,14 +196,18 @@
             && started(pid) == Some(at)
         {
             signal_group(pid, Signal::KILL);
+            ended.push((pid, at));
         }
     }
+    let end = Instant::now() + Duration::from_millis(GONE_MS);
+    while ended.iter().any(|(pid, at)| started(*pid) == Some(*at)) && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(10));
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::time::{Duration, Instant};
 
     fn key(task: &str) -> Key {
         Key { machine: "m".into(), task: task.into(), attempt: 1 }
