--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -113,10 +113,6 @@
         Client { context, deadline, first, rng }
     }
 
-    pub fn context(&self) -> &Context {
-        &self.context
-    }
-
     fn ask(&mut self, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, ClientError> {
         let controllers = self.context.controllers.clone();
         let start = Instant::now();
@@ -217,11 +213,6 @@
         Ok(serde_json::from_slice(&self.desk("GET", &format!("/logs/{id}/{task}"), b"")?)?)
     }
 
-    /// The region on one machine, as its desk tells of it.
-    pub fn region(&self) -> Result<Value, ClientError> {
-        Ok(serde_json::from_slice(&self.desk("GET", "/region", b"")?)?)
-    }
-
     /// For demonstrations: the region ends one of its controllers hard, and starts it again.
     pub fn kill_controller(&self, at: usize) -> Result<(), ClientError> {
         self.desk("POST", &format!("/controllers/{at}/kill"), b"").map(drop)
--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -67,6 +67,11 @@
     query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
+/// Is the change one of a key with this prefix?
+fn is_under(event: &Value, prefix: &str) -> bool {
+    event["write"].as_str().or(event["drop"].as_str()).is_some_and(|key| key.starts_with(prefix))
+}
+
 fn malformed(what: &str) -> Reply {
     (400, json!({"error": what}))
 }
@@ -200,12 +205,8 @@
 
     /// Has anything under this prefix changed after the revision? Also true where that cannot be told any more.
     pub fn has_changed(&self, prefix: &str, after: u64) -> bool {
-        let changed = |(at, event): &&(u64, Value)| {
-            *at > after
-                && event["write"].as_str().or(event["drop"].as_str()).is_some_and(|k| k.starts_with(prefix))
-        };
-        after < self.forgotten
-            || self.changes.iter().rev().take_while(|(at, _)| *at > after).any(|e| changed(&e))
+        let mut later = self.changes.iter().rev().take_while(|(at, _)| *at > after);
+        after < self.forgotten || later.any(|(_, event)| is_under(event, prefix))
     }
 
     pub fn call(&mut self, method: &str, path: &str, body: &[u8], now: u64) -> Reply {
@@ -280,12 +281,13 @@
         if after < self.forgotten {
             return (410, json!({"error": "too old", "ledger_rev": self.revision}));
         }
-        let of = |event: &Value| {
-            event["write"].as_str().or(event["drop"].as_str()).is_some_and(|key| key.starts_with(prefix))
-        };
         let first = self.changes.partition_point(|(at, _)| *at <= after);
-        let events: Vec<&Value> =
-            self.changes.range(first..).map(|(_, event)| event).filter(|event| of(event)).collect();
+        let events: Vec<&Value> = self
+            .changes
+            .range(first..)
+            .map(|(_, event)| event)
+            .filter(|event| is_under(event, prefix))
+            .collect();
         (200, json!({"ledger_rev": self.revision, "events": events}))
     }
 
--- a/src/coordination/leader/records/writer.rs
+++ b/src/coordination/leader/records/writer.rs
@@ -161,7 +161,8 @@
             }
             let first = |ix| self.work.get(&ix).and_then(|work| work.first_run.known());
             let first = batch.mirror.find(*id).and_then(first);
-            let detail = if self.journal.on() { batch.mirror.end_detail(*id, first) } else { None };
+            let detail =
+                if self.tunables.operators.enabled { batch.mirror.end_detail(*id, first) } else { None };
             let record = EndRecord::new(End::Done, clock.wall_ms, detail);
             batch.add(&Key::End(*id), json(&record), Effect::Ended(*id));
         }
