--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,240 @@
+//! What `latch` can be told: one definition of each flag, for help and completions alike.
+
+use std::ffi::OsString;
+use std::io;
+use std::path::PathBuf;
+
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+
+const AFTER: &str = "\
+Examples:
+  latch demo                                 a region, a mixed batch, a controller killed in the middle
+  latch up                                   a region on this machine, until Ctrl-C
+  latch submit --tasks 10 -- sh -c 'echo $OLIVELATCH_TASK'
+  latch submit jobs.hcl --wait
+  latch explain job-000412                   why it is where it is
+  latch list --state live --json
+
+Exit codes:
+  0  fine                                    4  refused: the request is wrong, or can never run
+  1  not found, or another failure           5  wait: a job was withdrawn
+  2  wrong arguments or files                6  wait: not done in time
+  3  no controller answered in time";
+
+#[derive(Debug, Parser)]
+#[command(name = "latch", version, about = "Submit, inspect and explain jobs; run a region on one machine", after_help = AFTER)]
+pub struct Cli {
+    #[command(flatten)]
+    pub common: Common,
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Debug, Clone, Args)]
+pub struct Common {
+    /// File with contexts (HCL); else the variable LATCH_CONTEXTS, ./.latch/contexts.hcl, ~/.config/latch/contexts.hcl
+    #[arg(long, global = true, value_name = "FILE")]
+    pub contexts: Option<PathBuf>,
+    /// Which context of the file
+    #[arg(long, global = true, value_name = "NAME")]
+    pub context: Option<String>,
+    /// One deadline for all tries of a request, in seconds
+    #[arg(long, global = true, value_name = "SECONDS", default_value_t = 15.0)]
+    pub deadline: f64,
+    /// JSON for programs (docs/client.md) instead of tables
+    #[arg(long, global = true)]
+    pub json: bool,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Submit jobs from files (HCL or JSON), or one from flags
+    Submit(Submit),
+    /// List jobs, ended ones too
+    List(List),
+    /// Show a job and its tasks
+    Show {
+        id: String,
+        /// Tasks shown at most
+        #[arg(long, default_value_t = 50)]
+        tasks: usize,
+    },
+    /// Say why a job, or one of its tasks, is where it is
+    Explain {
+        id: String,
+        /// Only this task
+        #[arg(long)]
+        task: Option<u32>,
+    },
+    /// Cancel jobs
+    Cancel { ids: Vec<String> },
+    /// Wait until jobs are over
+    Wait {
+        ids: Vec<String>,
+        /// Give up after so many seconds
+        #[arg(long, value_name = "SECONDS")]
+        timeout: Option<f64>,
+    },
+    /// The leader's last decisions on a job
+    Events { id: String },
+    /// Output of a task's attempts
+    Logs {
+        id: String,
+        #[arg(default_value_t = 0)]
+        task: u32,
+    },
+    /// The controllers, their queues and machines
+    Top {
+        /// Once, not every two seconds
+        #[arg(long)]
+        once: bool,
+    },
+    /// Check job files, and whether the context's controllers answer; nothing is sent to run
+    Check { files: Vec<PathBuf> },
+    /// Print completions for a shell
+    Completions { shell: Shell },
+    /// Run a region on this machine: state service, cloud, workers, controllers
+    Up(Up),
+    /// Show it all in under a minute: a region, a mixed batch, a controller killed in the middle
+    Demo(Demo),
+    /// A controller, as `olivelatch` itself; `up` starts them so
+    #[command(hide = true)]
+    Controller(Controller),
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum ShapeWord {
+    Array,
+    Gang,
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum UrgencyWord {
+    Critical,
+    High,
+    Normal,
+    Low,
+}
+
+#[derive(Debug, Args)]
+pub struct Submit {
+    /// Job files; without any, the job is taken from the flags
+    pub files: Vec<PathBuf>,
+    /// Wait until all are over
+    #[arg(long)]
+    pub wait: bool,
+    /// The job's id; chosen anew if not given. The same id again is the same submission
+    #[arg(long)]
+    pub id: Option<String>,
+    #[arg(long, default_value = "default")]
+    pub team: String,
+    #[arg(long, default_value = "work")]
+    pub class: String,
+    #[arg(long, value_enum, default_value = "array")]
+    pub shape: ShapeWord,
+    #[arg(long, value_enum, default_value = "normal")]
+    pub urgency: UrgencyWord,
+    #[arg(long, default_value_t = 1)]
+    pub tasks: u32,
+    /// CPUs of one task
+    #[arg(long, default_value_t = 1.0)]
+    pub cpus: f64,
+    /// Memory of one task, in GB
+    #[arg(long, default_value_t = 0.1)]
+    pub memory_gb: f64,
+    /// Estimated run time of a task, in seconds
+    #[arg(long, default_value_t = 10.0)]
+    pub guess_s: f64,
+    /// When the job should be complete, in seconds from now
+    #[arg(long)]
+    pub due_s: Option<f64>,
+    /// A variable of the command, NAME=VALUE
+    #[arg(long, value_name = "NAME=VALUE")]
+    pub env: Vec<String>,
+    /// Where the command starts
+    #[arg(long)]
+    pub dir: Option<String>,
+    /// The command of each task, after --
+    #[arg(last = true)]
+    pub command: Vec<String>,
+}
+
+#[derive(Debug, Args)]
+pub struct List {
+    /// live, ended, pending, running, done or withdrawn
+    #[arg(long)]
+    pub state: Option<String>,
+    #[arg(long)]
+    pub team: Option<String>,
+    #[arg(long)]
+    pub class: Option<String>,
+    /// Begin behind this job
+    #[arg(long)]
+    pub after: Option<String>,
+    /// Jobs shown at most
+    #[arg(long, default_value_t = 1000)]
+    pub most: usize,
+}
+
+#[derive(Debug, Clone, Args)]
+pub struct Up {
+    /// Folder of the region: state, logs, outputs. Given again, it goes on where it was
+    #[arg(long, value_name = "DIR", default_value = ".latch")]
+    pub state: PathBuf,
+    #[arg(long, default_value_t = 3)]
+    pub controllers: usize,
+    /// Machines that the cloud rents at most
+    #[arg(long, default_value_t = 4)]
+    pub machines: usize,
+    /// CPUs of a machine; accounted, not enforced
+    #[arg(long, default_value_t = 4.0)]
+    pub cpus: f64,
+    /// Memory of a machine in GB; accounted, not enforced
+    #[arg(long, default_value_t = 8.0)]
+    pub memory_gb: f64,
+    /// A team: its name, CPUs guaranteed, CPUs at most (0: no limit). May be repeated
+    #[arg(long = "team", value_name = "NAME=CPUS:MOST", default_value = "default=0:0")]
+    pub teams: Vec<String>,
+    /// Tunables of the controllers (HCL); the operators' interface is on without one
+    #[arg(long, value_name = "FILE")]
+    pub tunables: Option<PathBuf>,
+    /// The controllers' program instead of latch itself
+    #[arg(long, value_name = "PROGRAM")]
+    pub controller: Option<PathBuf>,
+    /// error, info or debug, for the controllers' logs
+    #[arg(long, default_value = "info")]
+    pub log_level: String,
+}
+
+#[derive(Debug, Clone, Args)]
+pub struct Demo {
+    /// Keep the folder of the region
+    #[arg(long)]
+    pub keep: bool,
+    /// Tasks of the largest job
+    #[arg(long, default_value_t = 120)]
+    pub tasks: u32,
+}
+
+#[derive(Debug, Args)]
+#[command(disable_help_flag = true)]
+pub struct Controller {
+    #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+    pub rest: Vec<OsString>,
+}
+
+pub fn completions(shell: Shell) {
+    clap_complete::generate(shell, &mut Cli::command(), "latch", &mut io::stdout());
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_definition_is_sound() {
+        Cli::command().debug_assert();
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,213 @@
+//! `latch demo`: a region, a mixed batch, the leading controller killed in the middle, a table at the end.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use anstream::println;
+use olivelatch::protocol::operators::NodeStatus;
+use olivelatch_client::{Client, JobEntry, Prepared};
+use olivelatch_region::Region;
+use serde_json::Value;
+
+use crate::args::{Demo, Up};
+use crate::commands::{send, statuses};
+use crate::exit::Failure;
+use crate::{render, up};
+
+const DEADLINE: Duration = Duration::from_secs(20);
+const LONGEST: Duration = Duration::from_secs(120);
+
+fn other(text: impl Into<String>) -> Failure {
+    Failure::Other(text.into())
+}
+
+fn shell(text: &str) -> Vec<String> {
+    ["sh", "-c", text].map(String::from).to_vec()
+}
+
+/// A wide array, a gang, a job held back by its team's limit, and one whose tasks fail the first time.
+fn batch(folder: &Path, tasks: u32) -> Result<Vec<Prepared>, Failure> {
+    let marks = folder.join("marks").display().to_string();
+    let env = |name: &str, value: String| BTreeMap::from([(name.to_string(), value)]);
+    let entries = [
+        (
+            "ingest",
+            JobEntry {
+                tasks,
+                cpus: 0.5,
+                guess_s: 0.3,
+                command: shell("sleep 0.3; echo reading $OLIVELATCH_TASK"),
+                ..JobEntry::default()
+            },
+        ),
+        (
+            "balances",
+            JobEntry {
+                tasks: 3,
+                shape: "gang".into(),
+                urgency: "high".into(),
+                guess_s: 1.0,
+                command: shell("sleep 1; echo balanced"),
+                ..JobEntry::default()
+            },
+        ),
+        (
+            "billing",
+            JobEntry {
+                tasks: 12,
+                team: "office".into(),
+                urgency: "high".into(),
+                guess_s: 0.5,
+                command: shell("sleep 0.5; echo billed"),
+                ..JobEntry::default()
+            },
+        ),
+        (
+            "flaky",
+            JobEntry {
+                tasks: 6,
+                guess_s: 0.1,
+                env: env("MARKS", marks),
+                command: shell(
+                    "mkdir -p $MARKS; if mkdir $MARKS/$OLIVELATCH_TASK 2>/dev/null; then echo first try fails; exit 1; fi; echo second try",
+                ),
+                ..JobEntry::default()
+            },
+        ),
+    ];
+    let prepare =
+        |(n, (name, entry)): (usize, &(&str, JobEntry))| entry.prepare(name, n as u64).map_err(other);
+    entries.iter().enumerate().map(prepare).collect()
+}
+
+/// Waits until something holds.
+fn until(what: &str, mut holds: impl FnMut() -> Result<bool, Failure>) -> Result<(), Failure> {
+    let end = Instant::now() + LONGEST;
+    while !holds()? {
+        if Instant::now() >= end {
+            return Err(other(format!("{what}: not within {} s", LONGEST.as_secs())));
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    Ok(())
+}
+
+/// Who leads, and the number of its controller.
+fn leader(client: &Client) -> Option<(usize, NodeStatus)> {
+    let all = statuses(client).into_iter().enumerate();
+    let leads = |(at, (_, status)): (usize, (String, Option<NodeStatus>))| {
+        status.filter(|status| status.leads).map(|status| (at, status))
+    };
+    all.filter_map(leads).next()
+}
+
+pub fn demo(args: &Demo) -> Result<(), Failure> {
+    let folder = std::env::temp_dir().join(format!("latch-demo-{}", std::process::id()));
+    let up = Up {
+        state: folder.clone(),
+        controllers: 3,
+        machines: 4,
+        cpus: 4.0,
+        memory_gb: 8.0,
+        teams: vec!["default=0:0".into(), "office=0:2".into()],
+        tunables: None,
+        controller: None,
+        log_level: "info".into(),
+    };
+    let region = Region::open(up::shape(&up)?)?;
+    let context = up::context(region.plan());
+    let stopper = region.stopper();
+    let runs = std::thread::spawn(move || region.run());
+    let shown = show(&folder, Client::new(context, DEADLINE), args.tasks.clamp(20, 5_000), &stopper);
+    stopper.store(true, Ordering::Relaxed);
+    let ended = runs.join().map_err(|_| other("the region stopped by a fault of its own"))?;
+    if args.keep {
+        println!("\nkept in {}", folder.display());
+    } else {
+        // What cannot be removed is in the system's folder for such things.
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    shown?;
+    Ok(ended?)
+}
+
+fn show(folder: &Path, mut client: Client, tasks: u32, stopper: &AtomicBool) -> Result<(), Failure> {
+    let start = Instant::now();
+    let at = || format!("{:5.1} s ", start.elapsed().as_secs_f64());
+    println!("{} a region with 3 controllers and up to 4 machines of 4 CPUs, in {}", at(), folder.display());
+    until("a leader", || Ok(leader(&client).is_some() || stopper.load(Ordering::Relaxed)))?;
+    let (first, status) = leader(&client).ok_or_else(|| other("interrupted"))?;
+    let name = status.node;
+    println!("{} {name} leads; submitting four jobs", at());
+    let jobs = batch(folder, tasks)?;
+    for job in &jobs {
+        send(&mut client, job)?;
+    }
+    let billing = jobs.iter().find(|job| job.name == "billing").ok_or_else(|| other("no such job"))?;
+    let limited = |client: &mut Client| {
+        let explanation = client.explain(&billing.id, None)?;
+        let limit = explanation.reasons.iter().any(|reason| render::reason(reason).0 == "team_limit");
+        Ok::<_, Failure>(limit.then_some(explanation))
+    };
+    let mut explained = None;
+    until("an explanation", || {
+        explained = limited(&mut client)?;
+        Ok(explained.is_some())
+    })?;
+    if let Some(explained) = explained {
+        println!("{} why does billing wait?\n{}", at(), render::explanation(&explained));
+    }
+    let ingest = &jobs[0].id;
+    let done = |client: &mut Client| Ok::<u32, Failure>(client.poll(ingest)?.done.unwrap_or(tasks));
+    until("a third of the tasks", || Ok(done(&mut client)? * 3 >= tasks))?;
+    client.kill_controller(first)?;
+    let killed = Instant::now();
+    println!("{} {name} killed in the middle of it", at());
+    let mut next = None;
+    until("another leader", || {
+        // The killed one may be back and lead: then it has started anew.
+        let lived = killed.elapsed().as_secs_f64();
+        next = leader(&client).filter(|(_, other)| other.node != name || other.uptime_s < lived);
+        Ok(next.is_some())
+    })?;
+    if let Some((_, next)) = next {
+        let next = next.node;
+        println!("{} {next} leads, {:.1} s later", at(), killed.elapsed().as_secs_f64());
+    }
+    until("the end of all jobs", || {
+        let all = jobs.iter().map(|job| Ok(client.poll(&job.id)?.status == "done"));
+        Ok(all.collect::<Result<Vec<bool>, Failure>>()?.into_iter().all(|done| done))
+    })?;
+    println!("{} all done\n", at());
+    let page = client.page("limit=100", None)?;
+    println!("{}", render::jobs(&page.jobs));
+    println!("\n{}", record(folder)?);
+    Ok(())
+}
+
+/// What the workers' own record says of the runs.
+fn record(folder: &Path) -> Result<String, Failure> {
+    let text =
+        std::fs::read_to_string(folder.join("runs.jsonl")).map_err(|error| other(error.to_string()))?;
+    let (mut starts, mut failed) = (0, 0);
+    let (mut done, mut again) = (BTreeSet::new(), 0);
+    for line in text.lines() {
+        let Ok(value) = serde_json::from_str::<Value>(line) else { continue };
+        let task = value["task"].as_str().unwrap_or("").to_string();
+        match value["event"].as_str() {
+            Some("start") => {
+                starts += 1;
+                again += u32::from(done.contains(&task));
+            }
+            Some("exit") if value["done"] == true => drop(done.insert(task)),
+            Some("exit") if value["code"] != 0 => failed += 1,
+            _ => {}
+        }
+    }
+    Ok(format!(
+        "by the workers' own record: {starts} starts, {} tasks done, {failed} failed tries, {again} started again after done",
+        done.len()
+    ))
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,38 @@
+//! `latch`: the command line of olivelatch.
+//!
+//! A thin assembly: `olivelatch-client` asks, `olivelatch-region` runs a region on one machine, `olivelatch` is the controller
+//! that it starts. What is here is arguments, tables and words.
+
+mod args;
+mod commands;
+mod demo;
+mod exit;
+mod render;
+mod up;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use args::{Cli, Command};
+use exit::Failure;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let result = match cli.command {
+        Command::Controller(args) => {
+            return olivelatch::cli::run(std::iter::once("olivelatch".into()).chain(args.rest));
+        }
+        Command::Up(args) => up::up(&args).map(|()| ExitCode::SUCCESS),
+        Command::Demo(args) => demo::demo(&args).map(|()| ExitCode::SUCCESS),
+        Command::Completions { shell } => {
+            args::completions(shell);
+            Ok(ExitCode::SUCCESS)
+        }
+        command => commands::run(&cli.common, command),
+    };
+    result.unwrap_or_else(|failure: Failure| {
+        eprintln!("latch: {failure}");
+        failure.code()
+    })
+}
--- /dev/null
+++ b/crates/cli/tests/region.rs
@@ -0,0 +1,273 @@
+//! A real region on loopback, driven through the program as a person would: ends of every kind in the middle of a batch, and
+//! what the client says afterwards held against the workers' own record. Bounded in time and count; ends only what it started.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+const LATCH: &str = env!("CARGO_BIN_EXE_latch");
+
+struct Region {
+    folder: PathBuf,
+    teams: Vec<String>,
+    child: Option<Child>,
+}
+
+impl Region {
+    fn start(folder: &Path, teams: &[&str]) -> Region {
+        let teams = teams.iter().map(|team| (*team).to_string()).collect();
+        let mut region = Region { folder: folder.into(), teams, child: None };
+        region.up();
+        region
+    }
+
+    fn up(&mut self) {
+        let mut command = Command::new(LATCH);
+        command.arg("up").arg("--state").arg(&self.folder).args(["--machines", "3", "--cpus", "4"]);
+        for team in &self.teams {
+            command.args(["--team", team]);
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).spawn().expect("the program starts");
+        self.child = Some(child);
+        self.until("a leader", |region| !region.leaders().is_empty());
+    }
+
+    /// Hard, as when the machine loses power: nothing of it is cleaned up.
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("our own process");
+            child.wait().expect("our own process");
+        }
+    }
+
+    fn latch(&self, arguments: &[&str]) -> Output {
+        Command::new(LATCH)
+            .arg("--contexts")
+            .arg(self.folder.join("contexts.hcl"))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .output()
+            .expect("the program runs")
+    }
+
+    /// Lines of JSON that a command printed.
+    fn json(&self, arguments: &[&str]) -> Vec<Value> {
+        let output = self.latch(&[&["--json"], arguments].concat());
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect()
+    }
+
+    fn leaders(&self) -> Vec<String> {
+        let top = self.json(&["top", "--once"]);
+        let nodes = top.first().and_then(Value::as_object).cloned().unwrap_or_default();
+        let leads = nodes.values().filter(|node| node["leads"] == true);
+        leads.filter_map(|node| node["node"].as_str().map(String::from)).collect()
+    }
+
+    fn until(&self, what: &str, holds: impl Fn(&Region) -> bool) {
+        let end = Instant::now() + Duration::from_secs(90);
+        while !holds(self) {
+            assert!(Instant::now() < end, "{what}: not in time");
+            std::thread::sleep(Duration::from_millis(150));
+        }
+    }
+
+    fn submit(&self, arguments: &[&str]) -> String {
+        let submitted = self.json(&[&["submit"], arguments].concat());
+        submitted[0]["id"].as_str().expect("an id").to_string()
+    }
+
+    fn done_tasks(&self, id: &str) -> u64 {
+        let jobs = self.json(&["list"])[0]["jobs"].as_array().cloned().unwrap_or_default();
+        let row = jobs.into_iter().find(|row| row["id"] == id);
+        row.map_or(0, |row| row["done"].as_u64().unwrap_or(0))
+    }
+
+    /// The controllers' processes, by their files: as the region lists what it has started.
+    fn controller_pids(&self) -> Vec<String> {
+        let at = self.folder.join("node-");
+        let at = at.display().to_string();
+        let processes = std::fs::read_dir("/proc").expect("processes").flatten();
+        let ours = processes.filter(|entry| {
+            let line = std::fs::read(entry.path().join("cmdline")).unwrap_or_default();
+            String::from_utf8_lossy(&line).contains(&at)
+        });
+        ours.filter_map(|entry| entry.file_name().into_string().ok()).collect()
+    }
+
+    fn kill_controllers(&self) {
+        let pids = self.controller_pids();
+        assert!(!pids.is_empty());
+        let killed = Command::new("kill").arg("-9").args(&pids).status().expect("kill runs");
+        assert!(killed.success());
+    }
+
+    /// Tasks that were done, by the workers' own record; and that none was started again after it.
+    fn done_by_record(&self) -> BTreeMap<String, BTreeSet<String>> {
+        let text = std::fs::read_to_string(self.folder.join("runs.jsonl")).expect("the record");
+        let mut done: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        for line in text.lines() {
+            let value: Value = serde_json::from_str(line).expect("JSON");
+            let (job, task) = value["task"].as_str().expect("a task").split_once('/').expect("job/task");
+            let known = done.entry(job.into()).or_default();
+            if value["event"] == "start" {
+                assert!(!known.contains(task), "started again after done: {line}");
+            } else if value["done"] == true {
+                known.insert(task.into());
+            }
+        }
+        done
+    }
+}
+
+impl Drop for Region {
+    fn drop(&mut self) {
+        // Politely, so that it ends what it has started.
+        if let Some(mut child) = self.child.take() {
+            let _ = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+            let end = Instant::now() + Duration::from_secs(10);
+            while Instant::now() < end && matches!(child.try_wait(), Ok(None)) {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+const SHORT: [&str; 4] = ["--", "sh", "-c", "sleep 0.1; echo $OLIVELATCH_TASK"];
+
+/// The leader, then all controllers, then the whole region are killed during a batch. Afterwards the client lists every
+/// job in its true state: none lost, none done early, no task run again after it was done.
+#[test]
+fn every_job_is_listed_truly_after_ends_of_every_kind() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut region = Region::start(&folder.path().join("r"), &["default=0:0", "office=0:1"]);
+    let early = region.submit(&["--tasks", "5", "--", "true"]);
+    assert!(region.latch(&["wait", &early, "--timeout", "60"]).status.success());
+    let wide =
+        region.submit(&[&["--tasks", "240", "--cpus", "0.5", "--guess-s", "0.1"], &SHORT[..]].concat());
+    let narrow = region.submit(&[&["--tasks", "6", "--team", "office"], &SHORT[..]].concat());
+    let gang = region.submit(&[&["--tasks", "3", "--shape", "gang"], &SHORT[..]].concat());
+    let endless = region.submit(&["--tasks", "2", "--", "sleep", "600"]);
+    let broken = region.submit(&["--tasks", "1", "--", "false"]);
+
+    region.until("some are done", |region| region.done_tasks(&wide) >= 30);
+    let leader = region.leaders().pop().expect("a leader");
+    let at = leader.strip_prefix("node-").expect("a number");
+    let pids = region.controller_pids();
+    let file = format!("node-{at}.json");
+    let of_leader = pids.iter().find(|pid| {
+        let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+        String::from_utf8_lossy(&line).contains(&file)
+    });
+    let killed =
+        Command::new("kill").arg("-9").arg(of_leader.expect("its process")).status().expect("kill runs");
+    assert!(killed.success());
+    region.until("more are done", |region| region.done_tasks(&wide) >= 80);
+    region.kill_controllers();
+    region.until("more are done", |region| region.done_tasks(&wide) >= 130);
+    let told = region.json(&["cancel", &endless]);
+    assert_eq!(told[0]["state"], "withdrawn");
+
+    region.kill();
+    // Whoever asks now is told that nobody answers, not an old state.
+    let silent = region.latch(&["--deadline", "1", "list"]);
+    assert_eq!(silent.status.code(), Some(3), "{}", String::from_utf8_lossy(&silent.stderr));
+    region.up();
+    let waited = region.latch(&["wait", &wide, &narrow, &gang, "--timeout", "90"]);
+    assert!(waited.status.success(), "{}", String::from_utf8_lossy(&waited.stderr));
+    assert_eq!(region.json(&["cancel", &broken])[0]["state"], "withdrawn");
+
+    let list = region.json(&["list"]).remove(0);
+    assert_eq!(list["complete"], true);
+    let rows = list["jobs"].as_array().expect("rows");
+    let states: BTreeMap<&str, &str> = rows
+        .iter()
+        .map(|row| (row["id"].as_str().expect("an id"), row["state"].as_str().expect("a state")))
+        .collect();
+    assert_eq!(states.len(), rows.len(), "each job once");
+    let expected = BTreeMap::from([
+        (early.as_str(), "done"),
+        (wide.as_str(), "done"),
+        (narrow.as_str(), "done"),
+        (gang.as_str(), "done"),
+        (endless.as_str(), "withdrawn"),
+        (broken.as_str(), "withdrawn"),
+    ]);
+    assert_eq!(states, expected);
+    let done = region.done_by_record();
+    for (id, tasks) in [(&early, 5), (&wide, 240), (&narrow, 6), (&gang, 3)] {
+        assert_eq!(done.get(id).map_or(0, BTreeSet::len), tasks, "{id} is called done");
+    }
+    assert!(done.get(&broken).is_none_or(BTreeSet::is_empty));
+    let logs = region.latch(&["logs", &wide, "17"]);
+    assert!(String::from_utf8_lossy(&logs.stdout).contains("\n17\n"), "its output is there");
+}
+
+/// The office waits for its team's limit: explain names the limit, who uses it and how much, and then no more.
+#[test]
+fn explain_names_the_limit_who_uses_it_and_how_much() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let region = Region::start(&folder.path().join("r"), &["default=0:0", "office=0:2"]);
+    let first = region.submit(&["--tasks", "2", "--team", "office", "--", "sleep", "600"]);
+    region.until("both run", |region| region.json(&["list"])[0]["jobs"][0]["running"] == 2);
+    let second = region.submit(&["--tasks", "1", "--team", "office", "--", "true"]);
+    let limit = |region: &Region| {
+        let explained = region.json(&["explain", &second]);
+        let reasons = explained.first().and_then(|e| e["reasons"].as_array().cloned()).unwrap_or_default();
+        reasons.into_iter().find(|reason| reason["reason"] == "team_limit")
+    };
+    region.until("the reason", |region| limit(region).is_some());
+    let reason = limit(&region).expect("the reason");
+    assert_eq!((reason["used_cpus"].as_f64(), reason["limit_cpus"].as_f64()), (Some(2.0), Some(2.0)));
+    assert_eq!(
+        (&reason["by"][0]["job"], reason["by"][0]["cpus"].as_f64()),
+        (&Value::from(first.as_str()), Some(2.0))
+    );
+    let text = region.latch(&["explain", &second]);
+    let text = String::from_utf8_lossy(&text.stdout).into_owned();
+    assert!(text.contains("team office uses 2 of 2 CPUs") && text.contains(&first), "{text}");
+    assert!(!text.contains('\u{1b}'), "no colours where there is no terminal");
+    assert!(region.latch(&["cancel", &first]).status.success());
+    assert!(region.latch(&["wait", &second, "--timeout", "60"]).status.success());
+    assert!(limit(&region).is_none());
+}
+
+/// Exit codes tell programs what people read; a wrong file is refused before anything is sent.
+#[test]
+fn failures_have_their_codes_and_say_what_was_expected() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let region = Region::start(&folder.path().join("r"), &["default=0:4"]);
+    let code = |arguments: &[&str]| {
+        let output = region.latch(arguments);
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    assert_eq!(code(&["explain", "job-000001"]).0, Some(1));
+    assert_eq!(code(&["show", "nonsense"]).0, Some(1));
+    let (status, text) = code(&["submit", "--cpus", "400", "--", "true"]);
+    assert!(status == Some(4) && text.contains("422"), "{text}");
+    let (status, text) = code(&["list", "--state", "lost"]);
+    assert!(status == Some(4) && text.contains("expected live, ended"), "{text}");
+    let file = folder.path().join("jobs.hcl");
+    std::fs::write(&file, "job \"a\" {\n  command = [\"true\"]\n  colour = 1\n}\n").expect("a file");
+    let (status, text) = code(&["submit", &file.display().to_string()]);
+    assert!(status == Some(2) && text.contains("line 3") && text.contains("colour"), "{text}");
+    assert_eq!(region.json(&["list"])[0]["jobs"].as_array().map(Vec::len), Some(0));
+    // The same id is the same submission, however often it is sent.
+    let id = region.submit(&["--id", "job-000777", "--", "true"]);
+    assert_eq!(region.submit(&["--id", "job-000777", "--", "true"]), id);
+    assert!(region.latch(&["wait", &id, "--timeout", "60"]).status.success());
+    assert_eq!(
+        code(&["submit", "--id", "job-000777", "--", "false"]).0,
+        Some(4),
+        "another job under the name"
+    );
+    let stopped = region.submit(&["--", "sleep", "600"]);
+    assert_eq!(code(&["wait", &stopped, "--timeout", "0.5"]).0, Some(6));
+    assert!(region.latch(&["cancel", &stopped]).status.success());
+    assert_eq!(code(&["wait", &stopped]).0, Some(5));
+}
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,15 @@
+//! The client library: asks olivelatch's controllers, and says truly what came of it.
+//!
+//! `Tries` decides which controller is asked next and when, within one deadline; it does no I/O and reads no clock. `Client`
+//! carries that out over plain connections and holds no session: every request can be asked again of any controller, and a
+//! repeated submission is the same submission. `JobFile` and `Contexts` read what people write. docs/client.md argues for it.
+
+mod client;
+mod contexts;
+mod jobs;
+mod tries;
+
+pub use client::{Client, ClientError, Described, Submitted};
+pub use contexts::{Context, Contexts, ContextsError};
+pub use jobs::{JobEntry, JobFile, JobFileError, Prepared, new_id};
+pub use tries::{Next, Outcome, Tries};
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -18,6 +18,8 @@
     pub status: u16,
     pub body: Vec<u8>,
     pub keep_alive: bool,
+    /// When to come back, if the answer says.
+    pub retry_after_s: Option<u32>,
 }
 
 /// A message at the front of the buffer, and how many bytes it took.
@@ -42,6 +44,7 @@
     chunked: bool,
     close: bool,
     keep: bool,
+    retry_after_s: Option<u32>,
     end: usize,
 }
 
@@ -70,6 +73,7 @@
         chunked: false,
         close: false,
         keep: false,
+        retry_after_s: None,
         end: end + 4,
     };
     for line in lines {
@@ -100,6 +104,9 @@
     } else if name.eq_ignore_ascii_case("transfer-encoding") {
         head.chunked = value.eq_ignore_ascii_case("chunked");
         return head.chunked;
+    } else if name.eq_ignore_ascii_case("retry-after") {
+        // A date instead of seconds says nothing to us.
+        head.retry_after_s = value.parse().ok();
     } else if name.eq_ignore_ascii_case("connection") {
         for part in value.split(',') {
             head.close |= part.trim().eq_ignore_ascii_case("close");
@@ -194,7 +201,8 @@
         Err(Wrong::TooLong) => Parsed::TooLong,
         Ok(None) => Parsed::Partial,
         Ok(Some((body, taken))) => {
-            let response = Response { status, body, keep_alive: !head.close };
+            let retry_after_s = head.retry_after_s;
+            let response = Response { status, body, keep_alive: !head.close, retry_after_s };
             Parsed::Whole(response, head.end + taken)
         }
     }
@@ -207,6 +215,8 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
+        410 => "Gone",
         421 => "Misdirected Request",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -43,6 +43,17 @@
     }
 }
 
+/// Numbers for registered sockets.
+#[derive(Debug, Default)]
+pub struct Keys(usize);
+
+impl Keys {
+    pub fn next_key(&mut self) -> usize {
+        self.0 += 1;
+        self.0
+    }
+}
+
 /// A registered socket.
 pub struct Watch<S: AsFd> {
     gate: Arc<Gate>,
--- /dev/null
+++ b/crates/region/src/machines.rs
@@ -0,0 +1,290 @@
+//! The region's machines: workers that report to the controllers and run real commands.
+
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+
+use olivelatch_net::caller::{Caller, Slot};
+use olivelatch_net::http::Response;
+use olivelatch_net::poll::Keys;
+use olivelatch_net::server::Port;
+use olivelatch_worker::processes::{Exit, Key, Processes};
+use olivelatch_worker::{Effect, GangTimes, Machine, Phase, Work, Worker, coordinate};
+use serde_json::{Value, json};
+
+use crate::cloud::{KindSpec, Rented};
+use crate::controllers::{GANG_PEER_S, GANG_WAIT_S, LEASE_S, REPORT_S};
+use crate::desk::Desk;
+
+/// Between reports, and before one that a change asks for. On one machine reports cost little, so they may
+/// follow one another faster than the protocol's half second.
+const REPORT_MS: u64 = (REPORT_S * 1000.0) as u64;
+const SOON_MS: u64 = 50;
+/// Before the next controller is tried.
+const RETRY_MS: u64 = 200;
+/// A controller answers a report within this, or another one is asked.
+const PATIENCE_MS: u64 = 4_000;
+const LEASE_MS: u64 = (LEASE_S * 1000.0) as u64;
+
+fn ms(seconds: f64) -> u64 {
+    (seconds * 1000.0) as u64
+}
+
+/// How a worker's reports go.
+struct Reporting {
+    port: Port,
+    slot: Slot,
+    home: usize,
+    next: u64,
+    /// When the open report went out, and in which session.
+    open: Option<(u64, u64)>,
+}
+
+pub struct Machines {
+    workers: Vec<Worker>,
+    reporting: Vec<Reporting>,
+    /// Since when an attempt of a gang lacks a member.
+    broken: BTreeMap<(String, u64), u64>,
+    controllers: Vec<SocketAddr>,
+    /// What was run when, by the workers' own word; written once what it tells is on disk.
+    record: File,
+    notes: String,
+}
+
+impl Machines {
+    pub fn open(folder: &Path, controllers: Vec<SocketAddr>) -> io::Result<Machines> {
+        let record = OpenOptions::new().create(true).append(true).open(folder.join("runs.jsonl"))?;
+        Ok(Machines {
+            workers: Vec::new(),
+            reporting: Vec::new(),
+            broken: BTreeMap::new(),
+            controllers,
+            record,
+            notes: String::new(),
+        })
+    }
+
+    pub fn has(&self, name: &str) -> bool {
+        self.workers.iter().any(|worker| worker.machine.name == name)
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.workers.iter().map(|worker| worker.machine.name.clone()).collect()
+    }
+
+    /// A rented machine comes up; `endpoint` is where its worker is served.
+    pub fn boot(
+        &mut self,
+        rented: &Rented,
+        kind: &KindSpec,
+        endpoint: SocketAddr,
+        port: Port,
+        desk: &Desk,
+        now: u64,
+    ) {
+        let machine = Machine {
+            name: rented.name.clone(),
+            endpoint: endpoint.to_string(),
+            kind: rented.kind.clone(),
+            zone: rented.zone.clone(),
+            spot: rented.spot,
+            cpus: kind.cpus,
+            gpus: kind.gpus,
+            memory_gb: kind.memory,
+            fetch_gb_per_s: kind.fetch,
+        };
+        let mut worker = Worker::new(machine, now);
+        desk.results.iter().for_each(|task| worker.knows_result(task));
+        let home = port.0 % self.controllers.len().max(1);
+        self.workers.push(worker);
+        self.reporting.push(Reporting { port, slot: Slot(port.0), home, next: now, open: None });
+    }
+
+    /// A machine that was returned: its tasks are ended with it.
+    pub fn drop_machine(
+        &mut self,
+        name: &str,
+        processes: &mut Processes,
+        caller: &mut Caller,
+    ) -> Option<Port> {
+        let at = self.workers.iter().position(|worker| worker.machine.name == name)?;
+        let worker = self.workers.remove(at);
+        let reporting = self.reporting.remove(at);
+        for piece in worker.pieces.iter().filter(|piece| piece.live()) {
+            processes.kill(&Key { machine: name.into(), task: piece.task.clone(), attempt: piece.attempt });
+        }
+        caller.hang_up(reporting.slot);
+        Some(reporting.port)
+    }
+
+    /// A controller's command, or a look at the worker.
+    pub fn request(
+        &mut self,
+        port: Port,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        desk: &Desk,
+        now: u64,
+    ) -> (u16, Value) {
+        let Some(at) = self.reporting.iter().position(|reporting| reporting.port == port) else {
+            return (404, json!({"error": "no such machine"}));
+        };
+        match (method, path) {
+            ("POST", "/orders") => self.workers[at].direct(body, now, &desk.descriptions),
+            ("GET", "/status") => (200, self.workers[at].report(now)),
+            _ => (404, json!({"error": "no such path"})),
+        }
+    }
+
+    /// Time passes on all machines: what is due starts, stops and is told.
+    pub fn step(&mut self, now: u64, desk: &mut Desk, processes: &mut Processes) {
+        for exit in processes.reap(now) {
+            self.exited(&exit, desk, now);
+        }
+        for worker in &mut self.workers {
+            worker.step(now, LEASE_MS, &desk.descriptions);
+            worker.started.clear();
+        }
+        let times = GangTimes { wait_ms: ms(GANG_WAIT_S), peer_ms: ms(GANG_PEER_S) };
+        let complete = self.complete();
+        coordinate(&mut self.workers, now, times, &desk.descriptions, &mut self.broken);
+        for (at, task) in complete {
+            let done = |piece: &olivelatch_worker::Piece| {
+                piece.task == task && piece.phase == (Phase::Ended { cause: "done", kept: false })
+            };
+            if let Some(piece) = self.workers[at].pieces.iter().find(|piece| done(piece)) {
+                let (attempt, machine) = (piece.attempt, self.workers[at].machine.name.clone());
+                desk.result(&task);
+                // A gang's tasks are done when the last of them has exited.
+                self.note(json!({"at_ms": now, "event": "exit", "task": task, "attempt": attempt,
+                    "machine": machine, "code": 0, "done": true}));
+            }
+        }
+        for at in 0..self.workers.len() {
+            for effect in self.workers[at].take_effects() {
+                self.carry_out(at, effect, desk, processes, now);
+            }
+        }
+    }
+
+    /// Members of gangs that have exited well and wait for the others.
+    fn complete(&self) -> Vec<(usize, String)> {
+        let waits = |at: usize| {
+            let pieces = self.workers[at].pieces.iter().filter(|piece| piece.phase == Phase::Complete);
+            pieces.map(move |piece| (at, piece.task.clone()))
+        };
+        (0..self.workers.len()).flat_map(waits).collect()
+    }
+
+    fn note(&mut self, what: Value) {
+        self.notes.push_str(&what.to_string());
+        self.notes.push('\n');
+    }
+
+    fn exited(&mut self, exit: &Exit, desk: &mut Desk, now: u64) {
+        let key = &exit.key;
+        let Some(at) = self.workers.iter().position(|worker| worker.machine.name == key.machine) else {
+            return;
+        };
+        let well = exit.code == Some(0);
+        let done = self.workers[at].exited(&key.task, key.attempt, well, &desk.descriptions);
+        if done {
+            desk.result(&key.task);
+        }
+        self.note(json!({"at_ms": now, "event": "exit", "task": key.task, "attempt": key.attempt,
+            "machine": key.machine, "code": exit.code, "done": done}));
+    }
+
+    fn carry_out(&mut self, at: usize, effect: Effect, desk: &Desk, processes: &mut Processes, now: u64) {
+        let machine = self.workers[at].machine.name.clone();
+        let key = |task: String, attempt| Key { machine: machine.clone(), task, attempt };
+        match effect {
+            Effect::Start { task, attempt } => self.start(at, &key(task, attempt), desk, processes, now),
+            Effect::Stop { task, attempt, grace_ms } => processes.stop(&key(task, attempt), grace_ms, now),
+            Effect::Kill { task, attempt } => processes.kill(&key(task, attempt)),
+        }
+    }
+
+    fn start(&mut self, at: usize, key: &Key, desk: &Desk, processes: &mut Processes, now: u64) {
+        let job = key.task.split('/').next().unwrap_or("");
+        let Some(description) = desk.descriptions.get(job) else { return };
+        let Work::Runs(command) = &description.work else { return };
+        let started = processes.start(key.clone(), command, description.tasks);
+        let (pid, problem) = match &started {
+            Ok(pid) => (Some(*pid), None),
+            Err(error) => (None, Some(error.to_string())),
+        };
+        self.note(json!({"at_ms": now, "event": "start", "task": key.task, "attempt": key.attempt,
+            "machine": key.machine, "pid": pid, "problem": problem}));
+        if let Some(problem) = problem {
+            // The user looks for the reason in the task's log.
+            processes.note_failure(key, &format!("cannot start: {problem}\n"));
+            self.workers[at].exited(&key.task, key.attempt, false, &desk.descriptions);
+        }
+    }
+
+    /// Reports that are due go out; all they say is on disk by now.
+    pub fn report(&mut self, keys: &mut Keys, caller: &mut Caller, now: u64) {
+        if !self.notes.is_empty() {
+            // The record is for checks and people; a full disk must not stop the machines.
+            let _ = self.record.write_all(self.notes.as_bytes());
+            self.notes.clear();
+        }
+        if self.controllers.is_empty() {
+            return;
+        }
+        for at in 0..self.workers.len() {
+            let reporting = &mut self.reporting[at];
+            let worker = &mut self.workers[at];
+            let soon = worker.changed && now + REPORT_MS >= reporting.next + SOON_MS;
+            if reporting.open.is_some() || (now < reporting.next && !soon) {
+                continue;
+            }
+            worker.changed = false;
+            let body = worker.report(now).to_string();
+            reporting.open = Some((now, worker.session));
+            reporting.next = now + REPORT_MS;
+            let addr = self.controllers[reporting.home % self.controllers.len()];
+            let request = ("POST", "/v1/report", body.as_bytes());
+            if !caller.call(keys, reporting.slot, addr, request, now + PATIENCE_MS) {
+                let slot = reporting.slot;
+                self.answered(slot, None, &Desk::default(), now);
+            }
+        }
+    }
+
+    /// An answer to a report, or none: then the next controller is tried.
+    pub fn answered(&mut self, slot: Slot, response: Option<&Response>, desk: &Desk, now: u64) {
+        let Some(at) = self.reporting.iter().position(|reporting| reporting.slot == slot) else { return };
+        let Some((sent, session)) = self.reporting[at].open.take() else { return };
+        let body: Value =
+            response.and_then(|response| serde_json::from_slice(&response.body).ok()).unwrap_or(Value::Null);
+        let status = response.map_or(0, |response| response.status);
+        if status == 200 {
+            if self.workers[at].session == session {
+                self.workers[at].answer(&body, sent, now, &desk.descriptions);
+            }
+            return;
+        }
+        let reporting = &mut self.reporting[at];
+        let node = body["home"].as_str().and_then(|home| home.strip_prefix("node-")?.parse::<usize>().ok());
+        match node.filter(|node| status == 421 && *node < self.controllers.len() && *node != reporting.home) {
+            Some(node) => {
+                reporting.home = node;
+                reporting.next = now;
+            }
+            None => {
+                reporting.home = (reporting.home + 1) % self.controllers.len().max(1);
+                reporting.next = now + RETRY_MS;
+            }
+        }
+    }
+
+    /// Tasks that have their image and are not over.
+    pub fn busy(&self) -> usize {
+        self.workers.iter().flat_map(|worker| &worker.pieces).filter(|piece| piece.live()).count()
+    }
+}
--- /dev/null
+++ b/crates/worker/src/processes.rs
@@ -0,0 +1,282 @@
+//! Tasks as operating system processes: each in a group of its own, so that a stop reaches all that it started.
+
+use std::collections::HashMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command as Program, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process_group};
+
+use crate::describe::Command;
+
+/// A task on a machine.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key {
+    pub machine: String,
+    pub task: String,
+    pub attempt: u64,
+}
+
+struct Process {
+    child: Child,
+    /// When the hard signal follows the polite one.
+    hard_at: Option<u64>,
+}
+
+/// What became of a process.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Exit {
+    pub key: Key,
+    /// None: ended by a signal.
+    pub code: Option<i32>,
+}
+
+/// The processes of a region, and the file that names them for whoever starts it next.
+pub struct Processes {
+    running: HashMap<Key, Process>,
+    folder: PathBuf,
+    pids: File,
+}
+
+const PIDS: &str = "pids";
+
+/// Clock ticks since the machine started at which a process did: with its id, that names it for good.
+fn started(pid: u32) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name in parentheses may hold anything; the fields after it are plain.
+    let (_, rest) = stat.rsplit_once(')')?;
+    rest.split_whitespace().nth(19)?.parse().ok()
+}
+
+fn signal_group(pid: u32, signal: Signal) {
+    if let Some(pid) = i32::try_from(pid).ok().and_then(Pid::from_raw) {
+        // A group that is gone needs no signal.
+        let _ = kill_process_group(pid, signal);
+    }
+}
+
+impl Processes {
+    /// `folder` holds the logs and the list of process ids. What an earlier region left running is ended first: by id,
+    /// and only if the process is the one that was started then.
+    pub fn open(folder: &Path) -> io::Result<Processes> {
+        std::fs::create_dir_all(folder)?;
+        end_leftovers(&folder.join(PIDS));
+        let pids = OpenOptions::new().create(true).write(true).truncate(true).open(folder.join(PIDS))?;
+        Ok(Processes { running: HashMap::new(), folder: folder.into(), pids })
+    }
+
+    /// Also for processes that others started, such as controllers.
+    pub fn remember(&mut self, pid: u32) -> io::Result<()> {
+        let line = format!("{pid} {}\n", started(pid).unwrap_or(0));
+        self.pids.write_all(line.as_bytes())
+    }
+
+    /// Where the output of an attempt goes.
+    pub fn log_path(folder: &Path, task: &str, attempt: u64) -> PathBuf {
+        folder.join("logs").join(format!("{task}.{attempt}.log"))
+    }
+
+    /// Starts a command with the variables that tell it which task it is. Returns the process id.
+    pub fn start(&mut self, key: Key, command: &Command, tasks: u32) -> io::Result<u32> {
+        let log = Processes::log_path(&self.folder, &key.task, key.attempt);
+        if let Some(parent) = log.parent() {
+            std::fs::create_dir_all(parent)?;
+        }
+        let output = OpenOptions::new().create(true).append(true).open(&log)?;
+        let missing = || io::Error::new(io::ErrorKind::InvalidInput, "no command");
+        let (program, args) = command.command.split_first().ok_or_else(missing)?;
+        let (job, task) = key.task.split_once('/').unwrap_or((&key.task, "0"));
+        let mut program = Program::new(program);
+        program
+            .args(args)
+            .env("OLIVELATCH_JOB", job)
+            .env("OLIVELATCH_TASK", task)
+            .env("OLIVELATCH_TASKS", tasks.to_string())
+            .env("OLIVELATCH_ATTEMPT", key.attempt.to_string())
+            .env("OLIVELATCH_MACHINE", &key.machine)
+            .envs(&command.env)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .process_group(0);
+        if let Some(dir) = &command.dir {
+            program.current_dir(dir);
+        }
+        let child = program.spawn()?;
+        let pid = child.id();
+        self.running.insert(key, Process { child, hard_at: None });
+        self.remember(pid)?;
+        Ok(pid)
+    }
+
+    /// Says in a task's log why it never started.
+    pub fn note_failure(&self, key: &Key, text: &str) {
+        let log = Processes::log_path(&self.folder, &key.task, key.attempt);
+        // Nobody misses the line more than the task.
+        let _ = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)
+            .and_then(|mut f| f.write_all(text.as_bytes()));
+    }
+
+    /// Asks politely; the hard signal follows after the grace.
+    pub fn stop(&mut self, key: &Key, grace_ms: u64, now: u64) {
+        if let Some(process) = self.running.get_mut(key) {
+            signal_group(process.child.id(), Signal::TERM);
+            let hard_at = now + grace_ms;
+            process.hard_at = Some(process.hard_at.map_or(hard_at, |at| at.min(hard_at)));
+        }
+    }
+
+    pub fn kill(&mut self, key: &Key) {
+        if let Some(process) = self.running.get(key) {
+            signal_group(process.child.id(), Signal::KILL);
+        }
+    }
+
+    /// Processes that have exited; those that took no notice of a polite stop get the hard one.
+    pub fn reap(&mut self, now: u64) -> Vec<Exit> {
+        let mut exits = Vec::new();
+        self.running.retain(|key, process| {
+            if process.hard_at.is_some_and(|at| at <= now) {
+                signal_group(process.child.id(), Signal::KILL);
+                process.hard_at = None;
+            }
+            match process.child.try_wait() {
+                Ok(None) => true,
+                Ok(Some(status)) => {
+                    // What it started and left behind goes with it.
+                    signal_group(process.child.id(), Signal::KILL);
+                    exits.push(Exit { key: key.clone(), code: status.code() });
+                    false
+                }
+                Err(_) => {
+                    exits.push(Exit { key: key.clone(), code: None });
+                    false
+                }
+            }
+        });
+        exits
+    }
+
+    pub fn count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Ends all, hard, and waits for them.
+    pub fn end_all(&mut self) {
+        for (_, mut process) in self.running.drain() {
+            signal_group(process.child.id(), Signal::KILL);
+            let _ = process.child.wait();
+        }
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        self.end_all();
+    }
+}
+
+/// Ends what the file names, if it is still the same process.
+fn end_leftovers(pids: &Path) {
+    let Ok(text) = std::fs::read_to_string(pids) else { return };
+    for line in text.lines() {
+        let Some((pid, at)) = line.split_once(' ') else { continue };
+        if let (Ok(pid), Ok(at)) = (pid.parse::<u32>(), at.parse::<u64>())
+            && at > 0
+            && started(pid) == Some(at)
+        {
+            signal_group(pid, Signal::KILL);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::{Duration, Instant};
+
+    fn key(task: &str) -> Key {
+        Key { machine: "m".into(), task: task.into(), attempt: 1 }
+    }
+
+    fn shell(text: &str) -> Command {
+        Command { command: vec!["sh".into(), "-c".into(), text.into()], ..Command::default() }
+    }
+
+    fn wait(processes: &mut Processes, from: Instant) -> Vec<Exit> {
+        loop {
+            let exits = processes.reap(from.elapsed().as_millis() as u64);
+            if !exits.is_empty() || from.elapsed() > Duration::from_secs(20) {
+                return exits;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    #[test]
+    fn exits_outputs_and_variables_are_told() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut processes = Processes::open(folder.path()).expect("processes");
+        let from = Instant::now();
+        processes
+            .start(key("job-000001/3"), &shell("echo $OLIVELATCH_JOB $OLIVELATCH_TASK; exit 7"), 4)
+            .expect("a start");
+        assert_eq!(wait(&mut processes, from), [Exit { key: key("job-000001/3"), code: Some(7) }]);
+        let log = Processes::log_path(folder.path(), "job-000001/3", 1);
+        assert_eq!(std::fs::read_to_string(log).expect("a log"), "job-000001 3\n");
+        let missing = Command { command: vec!["/no/such/program".into()], ..Command::default() };
+        assert!(processes.start(key("job-000001/4"), &missing, 4).is_err());
+    }
+
+    /// Who ignores the polite signal gets the hard one, with all it has started.
+    #[test]
+    fn stops_are_polite_then_hard_and_reach_the_whole_group() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut processes = Processes::open(folder.path()).expect("processes");
+        let from = Instant::now();
+        processes
+            .start(key("a/0"), &shell("trap 'exit 0' TERM; echo up; sleep 60 & wait"), 1)
+            .expect("a start");
+        processes
+            .start(key("b/0"), &shell("trap '' TERM; echo up; sleep 60 & wait; wait; sleep 60"), 1)
+            .expect("a start");
+        let up = |task| {
+            std::fs::read_to_string(Processes::log_path(folder.path(), task, 1))
+                .is_ok_and(|log| !log.is_empty())
+        };
+        while !(up("a/0") && up("b/0")) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let now = from.elapsed().as_millis() as u64;
+        processes.stop(&key("a/0"), 60_000, now);
+        processes.stop(&key("b/0"), 100, now);
+        let mut exits = wait(&mut processes, from);
+        while exits.len() < 2 && from.elapsed() < Duration::from_secs(20) {
+            exits.extend(wait(&mut processes, from));
+        }
+        exits.sort_by(|a, b| a.key.cmp(&b.key));
+        assert_eq!(exits, [Exit { key: key("a/0"), code: Some(0) }, Exit { key: key("b/0"), code: None }]);
+    }
+
+    /// A region that was killed leaves processes behind: the next one ends exactly those, and no other with such an id.
+    #[test]
+    fn leftovers_are_ended_by_id_and_only_if_they_are_the_same() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut left = Program::new("sleep").arg("60").process_group(0).spawn().expect("a process");
+        let mut other = Program::new("sleep").arg("60").process_group(0).spawn().expect("a process");
+        let at = |pid| started(pid).expect("it runs");
+        let text =
+            format!("{} {}\n{} {}\nnonsense\n", left.id(), at(left.id()), other.id(), at(other.id()) + 1);
+        std::fs::write(folder.path().join(PIDS), text).expect("a file");
+        let _processes = Processes::open(folder.path()).expect("processes");
+        assert_eq!(left.wait().expect("its end").code(), None);
+        assert!(other.try_wait().expect("a look").is_none(), "another process with the id is none of ours");
+        other.kill().expect("our own process");
+        other.wait().expect("its end");
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -38,7 +39,12 @@
 const BAD_SETTINGS: u8 = 2;
 
 pub fn main() -> ExitCode {
-    let cli = Cli::parse();
+    run(std::env::args_os())
+}
+
+/// The same with arguments given, the program's name first: a region on one machine starts its controllers so.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let cli = Cli::parse_from(arguments);
     let (Command::Serve(files) | Command::Check(files)) = &cli.command;
     let (settings, tunables) = match load(files) {
         Ok(loaded) => loaded,
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -4,7 +4,8 @@
 
 use crate::bookkeeping::mirror::Mirror;
 use crate::coordination::Clock;
-use crate::coordination::leader::{Binding, Leader, Life, Run};
+use crate::coordination::leader::placement::dispatch::Hindrance;
+use crate::coordination::leader::{Binding, Leader, Life, Run, Work};
 use crate::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
 use crate::protocol::operators::EventWord;
 use crate::protocol::users::Shape;
@@ -28,6 +29,12 @@
 const SHORTEST_FETCH_MS: u64 = 2_000;
 const FETCH_WEIGHT: f64 = 0.1;
 
+/// A job that fails everywhere is tried ever more seldom: so many times the usual wait.
+fn patience(work: &Work) -> u64 {
+    let machines = work.failed_on.len() + work.forgiven;
+    1 << machines.saturating_sub(BAD_JOB_MACHINES - 1).min(5)
+}
+
 /// How to answer a report.
 #[derive(Debug)]
 pub enum Verdict {
@@ -261,16 +268,39 @@
             ExitCause::Unknown => AFTER_UNKNOWN_MS,
             _ => 0,
         };
-        let delay = delay.saturating_mul(self.patience(&binding));
+        let work = binding.job.and_then(|job| self.work.get(&job));
+        let delay = delay.saturating_mul(work.map_or(1, patience));
         self.requeue(&binding, delay, clock);
         self.gang_member_left(&binding);
     }
 
-    /// A job that fails everywhere is tried ever more seldom.
-    fn patience(&self, binding: &Binding) -> u64 {
-        let work = binding.job.and_then(|job| self.work.get(&job));
-        let machines = work.map_or(0, |work| work.failed_on.len());
-        1 << machines.saturating_sub(BAD_JOB_MACHINES - 1).min(5)
+    /// A job that failed on every machine it might use now gets them back, ever more seldom: with few machines,
+    /// one failure on each would otherwise keep it waiting for good.
+    pub fn forgive(&mut self, clock: Clock) {
+        let due = |work: &Work| !work.failed_on.is_empty() && clock.now >= work.forgive_next;
+        let stuck = self.work.iter().filter(|(_, work)| due(work) && self.failed_everywhere(work));
+        for ix in stuck.map(|(ix, _)| *ix).collect::<Vec<JobIx>>() {
+            let Some(work) = self.work.get_mut(&ix) else { continue };
+            let id = work.info.id;
+            log::info!(event = "forgiven", job:% = id; "{id} failed on all it may use: tried there again");
+            work.forgiven += work.failed_on.len();
+            work.failed_on.clear();
+            work.forgive_next = clock.now.plus(AFTER_ERROR_MS * patience(work));
+        }
+    }
+
+    /// Of the machines that could run its tasks, each has failed one. Parked ones take no queued tasks.
+    fn failed_everywhere(&self, work: &Work) -> bool {
+        let mut failed = false;
+        for ix in self.roster.open() {
+            let taken = work.info.together() || self.roster.takes(*ix);
+            match self.unfit(*ix, work) {
+                None if taken => return false,
+                Some(Hindrance::FailedHere) => failed = true,
+                _ => {}
+            }
+        }
+        failed
     }
 
     fn failed(&mut self, ix: MachineIx, binding: &Binding) {
@@ -280,7 +310,7 @@
             return;
         };
         work.failed_on.insert(ix);
-        if work.failed_on.len() >= BAD_JOB_MACHINES {
+        if work.failed_on.len() + work.forgiven >= BAD_JOB_MACHINES {
             // Its own fault: machines that failed nothing else are good again.
             let id = work.info.id;
             for machine in &mut self.machines {
@@ -308,6 +338,7 @@
             return;
         };
         work.failed_on.clear();
+        work.forgiven = 0;
         if let Some(since) = binding.running_since {
             if work.runs >= COMPARED_RUNS {
                 let mean = (work.run_ms / u64::from(work.runs)).max(1);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -170,6 +170,10 @@
     pub run_ms: u64,
     /// Machines on which its tasks failed, since one last succeeded.
     pub failed_on: HashSet<MachineIx>,
+    /// Failures on machines that it was allowed back to, since one last succeeded.
+    pub forgiven: usize,
+    /// Not allowed back before.
+    pub forgive_next: Millis,
     pub ending: bool,
     pub first_run: FirstRun,
     /// It fits into its team's guarantee together with the team's earlier jobs.
@@ -412,6 +416,8 @@
             runs: 0,
             run_ms: 0,
             failed_on: HashSet::new(),
+            forgiven: 0,
+            forgive_next: Millis::default(),
             ending: false,
             first_run: self.journal.first_run(),
             guaranteed: false,
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -229,6 +229,7 @@
     /// more than all that is placed.
     pub fn sweep(&mut self, clock: Clock) {
         self.spill(clock);
+        self.forgive(clock);
         let waiting = |ix: &MachineIx| !self.machines[ix.at()].shared.is_empty();
         if self.roster.takers().iter().any(waiting) {
             self.roster.wake(SWEPT);
