latch graph: files with templates, pictures, retry and clear; the billing chain

Need: people write graphs in files and look at runs. crates/flow reads HCL with minijinja templates and refuses mistakes with file and line, draws runs as text, DOT and SVG; the client sends parts and commits at one moment; latch graph submit, show, list, cancel, retry, clear, wait, check. examples/billing.hcl with a task that fails in the middle.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -15,10 +15,11 @@
   latch submit jobs.hcl --wait
   latch explain job-000412                   why it is where it is
   latch list --state live --json
+  latch graph submit examples/billing.hcl --wait
 
 Exit codes:
   0  fine                                    4  refused: the request is wrong, or can never run
-  1  not found, or another failure           5  wait: a job was withdrawn
+  1  not found, or another failure           5  wait: a job was withdrawn, a run failed
   2  wrong arguments or files                6  wait: not done in time
   3  no controller answered in time";
 
@@ -90,6 +91,9 @@
         #[arg(long)]
         once: bool,
     },
+    /// Runs of graphs: submit, show, list, cancel, retry, clear
+    #[command(subcommand)]
+    Graph(Graph),
     /// Check job files, and whether the context's controllers answer; nothing is sent to run
     Check { files: Vec<PathBuf> },
     /// Print completions for a shell
@@ -103,6 +107,68 @@
     Controller(Controller),
 }
 
+#[derive(Debug, Subcommand)]
+pub enum Graph {
+    /// Submit a run of a graph file (docs/flows.md)
+    Submit {
+        file: PathBuf,
+        /// The run's name, instead of the file's. The same name again is the same run
+        #[arg(long)]
+        run: Option<String>,
+        /// A variable of the file, NAME=VALUE; a list is written as JSON
+        #[arg(long = "var", value_name = "NAME=VALUE")]
+        vars: Vec<String>,
+        /// Wait until the run is over
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Show a run: its layers, states, evidence, the longest way through it
+    Show {
+        run: String,
+        /// For graphviz
+        #[arg(long, conflicts_with = "svg")]
+        dot: bool,
+        /// A picture
+        #[arg(long)]
+        svg: bool,
+    },
+    /// List runs
+    List {
+        /// Of this graph only
+        #[arg(long)]
+        graph: Option<String>,
+    },
+    /// Cancel a run: nothing more of it starts, what runs stops
+    Cancel { run: String },
+    /// Do over what failed or was cancelled, and all behind it
+    Retry {
+        run: String,
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Do nodes over, and all behind them
+    Clear {
+        run: String,
+        #[arg(required = true)]
+        nodes: Vec<String>,
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Wait until a run is over
+    Wait {
+        run: String,
+        /// Give up after so many seconds
+        #[arg(long, value_name = "SECONDS")]
+        timeout: Option<f64>,
+    },
+    /// Check graph files; nothing is sent
+    Check {
+        files: Vec<PathBuf>,
+        #[arg(long = "var", value_name = "NAME=VALUE")]
+        vars: Vec<String>,
+    },
+}
+
 #[derive(Debug, Clone, Copy, ValueEnum)]
 pub enum ShapeWord {
     Array,
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -55,6 +55,7 @@
                 println!("--- {} attempt {}{cut}\n{}", logs.task, attempt.attempt, attempt.text.trim_end());
             }
         }
+        Command::Graph(graph) => return crate::graphs::run(common, client, &graph),
         Command::Top { once } => top(common, client, once)?,
         Command::Check { files } => check(common, client, &files)?,
         Command::Completions { .. } | Command::Up(_) | Command::Demo(_) | Command::Controller(_) => {}
@@ -84,7 +85,7 @@
     Ok(Client::new(context, Duration::from_secs_f64(common.deadline)))
 }
 
-fn show(common: &Common, value: &impl Serialize, text: impl FnOnce() -> String) -> Result<(), Failure> {
+pub fn show(common: &Common, value: &impl Serialize, text: impl FnOnce() -> String) -> Result<(), Failure> {
     if common.json {
         println!("{}", serde_json::to_string(value)?);
     } else {
@@ -152,7 +153,7 @@
     Ok(client.submit(&job.spec)?.status)
 }
 
-fn bar(common: &Common, length: usize, what: &str) -> ProgressBar {
+pub fn bar(common: &Common, length: usize, what: &str) -> ProgressBar {
     if common.json || length < 2 || !std::io::stderr().is_terminal() {
         return ProgressBar::hidden();
     }
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use olivelatch_client::{ClientError, ContextsError, JobFileError};
+use olivelatch_flow::FlowFileError;
 use olivelatch_region::RegionError;
 
 /// Something was not found, or the region could not go on.
@@ -11,7 +12,7 @@
 const USAGE: u8 = 2;
 const NO_ANSWER: u8 = 3;
 const REFUSED: u8 = 4;
-/// `wait`: a job was withdrawn.
+/// `wait`: a job was withdrawn, or a run did not go well.
 pub const WITHDRAWN: u8 = 5;
 /// `wait`: the time was over.
 pub const NOT_YET: u8 = 6;
@@ -71,6 +72,12 @@
     }
 }
 
+impl From<FlowFileError> for Failure {
+    fn from(error: FlowFileError) -> Failure {
+        Failure::Usage(error.to_string())
+    }
+}
+
 impl From<serde_json::Error> for Failure {
     fn from(error: serde_json::Error) -> Failure {
         Failure::Other(error.to_string())
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod demo;
 mod exit;
+mod graphs;
 mod render;
 mod up;
 
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -4,6 +4,7 @@
 
 use anstyle::{AnsiColor, Style};
 use comfy_table::{Cell, CellAlignment, Table, presets};
+use olivelatch::protocol::graphs::{RunRow, RunState};
 use olivelatch::protocol::operators::{
     EventList, EventWord, Explanation, JobDetail, JobRow, JobState, KindRoom, LeaderStatus, NodeStatus,
     OfferView, Reason, Source,
@@ -53,6 +54,29 @@
     at_ms.map_or("?".into(), |at| format!("{} ago", span(now_ms().saturating_sub(at))))
 }
 
+pub fn runs(rows: &[RunRow]) -> String {
+    let mut table = table(&["RUN", "GRAPH", "STATE", "NODES", "OF THEM", "ACCEPTED"]);
+    for row in rows {
+        let states: Vec<String> =
+            row.states.iter().map(|(state, count)| format!("{count} {state}")).collect();
+        let colour = match row.state {
+            RunState::Success => AnsiColor::Green,
+            RunState::Failed | RunState::Cancelled => AnsiColor::Red,
+            RunState::Running => AnsiColor::Cyan,
+            RunState::Waiting | RunState::Cancelling => AnsiColor::Yellow,
+        };
+        table.add_row([
+            row.run.clone(),
+            row.graph.clone(),
+            paint(row.state.word(), colour),
+            row.nodes.to_string(),
+            states.join(", "),
+            ago(Some(row.accepted_ms)),
+        ]);
+    }
+    table.to_string()
+}
+
 pub fn jobs(rows: &[JobRow]) -> String {
     let mut table = table(&["JOB", "STATE", "TEAM", "CLASS", "DONE", "RUNNING", "ACCEPTED", "TOOK"]);
     for row in rows {
--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -18,6 +18,10 @@
   enabled        = true
   explains_per_s = 200
 }
+
+graphs {
+  enabled = true
+}
 ";
 
 fn usage(text: String) -> Failure {
--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,147 @@
+//! A real region on loopback, driven through the program as a person would. Ends only what it started.
+
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+const LATCH: &str = env!("CARGO_BIN_EXE_latch");
+
+pub struct Region {
+    pub folder: PathBuf,
+    teams: Vec<String>,
+    child: Option<Child>,
+}
+
+impl Region {
+    pub fn start(folder: &Path, teams: &[&str]) -> Region {
+        let teams = teams.iter().map(|team| (*team).to_string()).collect();
+        let mut region = Region { folder: folder.into(), teams, child: None };
+        region.up();
+        region
+    }
+
+    pub fn up(&mut self) {
+        let mut command = Command::new(LATCH);
+        command.arg("up").arg("--state").arg(&self.folder).args(["--machines", "3", "--cpus", "4"]);
+        for team in &self.teams {
+            command.args(["--team", team]);
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).spawn().expect("the program starts");
+        self.child = Some(child);
+        self.until("a leader", |region| !region.leaders().is_empty());
+    }
+
+    /// Hard, as when the machine loses power: nothing of it is cleaned up.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("our own process");
+            child.wait().expect("our own process");
+        }
+    }
+
+    pub fn latch(&self, arguments: &[&str]) -> Output {
+        Command::new(LATCH)
+            .arg("--contexts")
+            .arg(self.folder.join("contexts.hcl"))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .output()
+            .expect("the program runs")
+    }
+
+    /// Lines of JSON that a command printed.
+    pub fn json(&self, arguments: &[&str]) -> Vec<Value> {
+        let output = self.latch(&[&["--json"], arguments].concat());
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect()
+    }
+
+    pub fn leaders(&self) -> Vec<String> {
+        let top = self.json(&["top", "--once"]);
+        let nodes = top.first().and_then(Value::as_object).cloned().unwrap_or_default();
+        let leads = nodes.values().filter(|node| node["leads"] == true);
+        leads.filter_map(|node| node["node"].as_str().map(String::from)).collect()
+    }
+
+    pub fn until(&self, what: &str, holds: impl Fn(&Region) -> bool) {
+        let end = Instant::now() + Duration::from_secs(90);
+        while !holds(self) {
+            assert!(Instant::now() < end, "{what}: not in time");
+            std::thread::sleep(Duration::from_millis(150));
+        }
+    }
+
+    pub fn submit(&self, arguments: &[&str]) -> String {
+        let submitted = self.json(&[&["submit"], arguments].concat());
+        submitted[0]["id"].as_str().expect("an id").to_string()
+    }
+
+    pub fn done_tasks(&self, id: &str) -> u64 {
+        let jobs = self.json(&["list"])[0]["jobs"].as_array().cloned().unwrap_or_default();
+        let row = jobs.into_iter().find(|row| row["id"] == id);
+        row.map_or(0, |row| row["done"].as_u64().unwrap_or(0))
+    }
+
+    /// The controllers' processes, by their files: as the region lists what it has started.
+    pub fn controller_pids(&self) -> Vec<String> {
+        let at = self.folder.join("node-");
+        let at = at.display().to_string();
+        let processes = std::fs::read_dir("/proc").expect("processes").flatten();
+        let ours = processes.filter(|entry| {
+            let line = std::fs::read(entry.path().join("cmdline")).unwrap_or_default();
+            String::from_utf8_lossy(&line).contains(&at)
+        });
+        ours.filter_map(|entry| entry.file_name().into_string().ok()).collect()
+    }
+
+    pub fn kill_controllers(&self) {
+        let pids = self.controller_pids();
+        assert!(!pids.is_empty());
+        let killed = Command::new("kill").arg("-9").args(&pids).status().expect("kill runs");
+        assert!(killed.success());
+    }
+
+    /// Tasks that were done, by the workers' own record; and that none was started again after it.
+    pub fn done_by_record(&self) -> BTreeMap<String, BTreeSet<String>> {
+        let text = std::fs::read_to_string(self.folder.join("runs.jsonl")).expect("the record");
+        let mut done: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        for line in text.lines() {
+            let value: Value = serde_json::from_str(line).expect("JSON");
+            let (job, task) = value["task"].as_str().expect("a task").split_once('/').expect("job/task");
+            let known = done.entry(job.into()).or_default();
+            if value["event"] == "start" {
+                assert!(!known.contains(task), "started again after done: {line}");
+            } else if value["done"] == true {
+                known.insert(task.into());
+            }
+        }
+        done
+    }
+}
+
+impl Region {
+    /// Politely, so that it ends what it has started.
+    pub fn end(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+            let end = Instant::now() + Duration::from_secs(10);
+            while Instant::now() < end && matches!(child.try_wait(), Ok(None)) {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Region {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/graphs.rs
@@ -0,0 +1,274 @@
+//! Graphs and plain jobs on one core, on loopback: both kinds submitted at once by several clients while controllers are
+//! killed, and a checker that reads the workers' own record, the published files and what the client says.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use common::Region;
+use serde_json::Value;
+
+/// Three stages with a fan-out over a list and a fan-in; a bill is written in two halves with a pause between. While
+/// `trouble` is there, one balance fails.
+const CHAIN: &str = r#"
+graph = "chain"
+vars {
+  trouble = "/nonexistent"
+}
+defaults {
+  cpus = 0.5
+  guess_s = 0.2
+}
+node "raw" {
+  command = ["sh", "-c", "echo '[1,2,3,4,5]' > $OLIVELATCH_OUT/list.json; sleep 0.2"]
+}
+node "balance" {
+  map = "raw"
+  tries = 2
+  wait_s = 0.2
+  command = ["sh", "-c", "test $OLIVELATCH_ITEM = 3 -a -e {{ trouble }} && exit 1; sleep 0.1; echo $OLIVELATCH_ITEM > $OLIVELATCH_OUT/sum"]
+}
+node "bill" {
+  map = "raw"
+  after = ["balance"]
+  command = ["sh", "-c", "echo begin > $OLIVELATCH_OUT/bill; sleep 0.2; cat $OLIVELATCH_IN_BALANCE/$OLIVELATCH_TASK/sum >> $OLIVELATCH_OUT/bill; echo end >> $OLIVELATCH_OUT/bill"]
+}
+node "office" {
+  after = ["bill"]
+  command = ["sh", "-c", "cat $OLIVELATCH_IN_BILL/*/bill > $OLIVELATCH_OUT/bill"]
+}
+"#;
+
+const EDGES: [(&str, &str); 4] =
+    [("raw", "balance"), ("raw", "bill"), ("balance", "bill"), ("bill", "office")];
+
+fn files(place: &Path) -> Vec<PathBuf> {
+    let here = place.join("bill");
+    if here.exists() {
+        return vec![here];
+    }
+    let tasks = fs::read_dir(place).into_iter().flatten().flatten();
+    tasks.map(|task| task.path().join("bill")).filter(|bill| bill.exists()).collect()
+}
+
+/// Looks at what is published again and again: every bill whole, all five of them, and never another in their place.
+fn watch(published: PathBuf, stop: Arc<AtomicBool>) -> Result<usize, String> {
+    let mut shown: BTreeMap<PathBuf, PathBuf> = BTreeMap::new();
+    let mut looks = 0;
+    while !stop.load(Ordering::Relaxed) {
+        for run in fs::read_dir(&published).into_iter().flatten().flatten() {
+            for node in ["bill", "office"] {
+                let name = run.path().join(node);
+                let Ok(target) = fs::read_link(&name) else { continue };
+                let known = shown.entry(name.clone()).or_insert_with(|| target.clone());
+                if *known != target {
+                    return Err(format!("{} was published twice: {known:?}, {target:?}", name.display()));
+                }
+                let bills = files(&name);
+                let lines: usize = bills
+                    .iter()
+                    .map(|bill| fs::read_to_string(bill).unwrap_or_default())
+                    .map(|text| if text.ends_with("end\n") { text.lines().count() } else { 0 })
+                    .sum();
+                if lines != 15 {
+                    return Err(format!(
+                        "{}: half of it is shown: {lines} lines in {bills:?}",
+                        name.display()
+                    ));
+                }
+                looks += 1;
+            }
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    Ok(looks)
+}
+
+fn detail(region: &Region, run: &str) -> Value {
+    region.json(&["graph", "show", run]).into_iter().next().unwrap_or(Value::Null)
+}
+
+fn node<'a>(detail: &'a Value, name: &str) -> &'a Value {
+    let nodes = detail["nodes"].as_array().map_or(&[][..], Vec::as_slice);
+    nodes.iter().find(|node| node["name"] == name).unwrap_or(&Value::Null)
+}
+
+/// Places in the record of the first start and the last good end of each job.
+fn spans(region: &Region) -> BTreeMap<String, (usize, usize)> {
+    let text = fs::read_to_string(region.folder.join("runs.jsonl")).expect("the record");
+    let mut spans: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+    for (at, line) in text.lines().enumerate() {
+        let value: Value = serde_json::from_str(line).expect("JSON");
+        let job = value["task"].as_str().and_then(|task| task.split('/').next()).expect("a task");
+        let span = spans.entry(job.into()).or_insert((at, 0));
+        if value["done"] == true {
+            span.1 = at;
+        }
+    }
+    spans
+}
+
+/// Every node of a run started after all that it comes after was done, by the workers' record.
+fn check_order(region: &Region, run: &Value) {
+    let spans = spans(region);
+    let span = |name: &str| spans.get(node(run, name)["job"].as_str().unwrap_or("")).copied();
+    for (before, after) in EDGES {
+        if let (Some(before_span), Some(after_span)) = (span(before), span(after)) {
+            assert!(before_span.1 < after_span.0, "{after} started before {before} was done: {run}");
+        }
+    }
+}
+
+#[test]
+fn both_kinds_at_once_end_once_each_and_files_appear_whole() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let region = Arc::new(Region::start(&folder.path().join("r"), &["default=0:0"]));
+    let file = folder.path().join("chain.hcl");
+    fs::write(&file, CHAIN).expect("a file");
+    let file = file.display().to_string();
+    let trouble = folder.path().join("trouble");
+    fs::write(&trouble, "").expect("a file");
+    let stop = Arc::new(AtomicBool::new(false));
+    let watcher = thread::spawn({
+        let (published, stop) = (region.folder.join("published"), stop.clone());
+        move || watch(published, stop)
+    });
+    let clients: Vec<_> = (0..4)
+        .map(|client| {
+            let (region, file) = (region.clone(), file.clone());
+            let var = format!(
+                "trouble={}",
+                if client == 0 { trouble.display().to_string() } else { "/nonexistent".into() }
+            );
+            thread::spawn(move || {
+                let run = format!("run-{client}");
+                let sent = region.latch(&["graph", "submit", &file, "--run", &run, "--var", &var]);
+                assert!(sent.status.success(), "{}", String::from_utf8_lossy(&sent.stderr));
+                let tasks = ["--tasks", "12", "--cpus", "0.5", "--guess-s", "0.2", "--", "sleep", "0.2"];
+                (run, region.submit(&tasks))
+            })
+        })
+        .collect();
+    let submitted: Vec<(String, String)> =
+        clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    region.until("something is done", |region| spans(region).values().any(|(_, end)| *end > 0));
+    region.kill_controllers();
+    for (run, job) in &submitted {
+        let waited = region.latch(&["graph", "wait", run, "--timeout", "90"]);
+        let expected = if run == "run-0" { Some(5) } else { Some(0) };
+        assert_eq!(waited.status.code(), expected, "{run}: {}", String::from_utf8_lossy(&waited.stderr));
+        assert!(region.latch(&["wait", job, "--timeout", "90"]).status.success(), "{job}");
+    }
+    let failed = detail(&region, "run-0");
+    assert_eq!(
+        [&node(&failed, "balance")["state"], &node(&failed, "bill")["state"]],
+        ["failed", "upstream_failed"]
+    );
+    let evidence = node(&failed, "balance")["evidence"].as_array().cloned().unwrap_or_default();
+    assert_eq!(evidence.len(), 2, "{evidence:?}");
+    assert!(evidence.iter().all(|one| one["t"] == 2 && one["c"] == "error"), "{evidence:?}");
+    assert!(!region.folder.join("published/run-0/bill").exists(), "nothing of it is shown");
+
+    fs::remove_file(&trouble).expect("our own file");
+    let retried = region.latch(&["graph", "retry", "run-0", "--wait"]);
+    assert!(retried.status.success(), "{}", String::from_utf8_lossy(&retried.stderr));
+    let after = detail(&region, "run-0");
+    let states: BTreeSet<&str> =
+        after["nodes"].as_array().expect("nodes").iter().filter_map(|node| node["state"].as_str()).collect();
+    assert_eq!(states, BTreeSet::from(["success"]));
+    assert_eq!(node(&failed, "raw")["job"], node(&after, "raw")["job"], "what went well is not done over");
+
+    stop.store(true, Ordering::Relaxed);
+    let looks = watcher.join().expect("the watcher").expect("whole files");
+    assert!(looks > 20, "it looked {looks} times");
+    for (run, _) in &submitted {
+        check_order(&region, &detail(&region, run));
+        let office = fs::read_to_string(region.folder.join("published").join(run).join("office/bill"));
+        assert_eq!(office.expect("the office's file").lines().count(), 15);
+    }
+    // Reads the whole record: no task was started again after it was done, on either kind.
+    let done = region.done_by_record();
+    for (run, job) in &submitted {
+        assert_eq!(done.get(job).map_or(0, BTreeSet::len), 12, "{job}");
+        let bill = detail(&region, run);
+        let bill = node(&bill, "bill")["job"].as_str().expect("a job").to_string();
+        assert_eq!(done.get(&bill).map_or(0, BTreeSet::len), 5, "{run}");
+    }
+    // The old names stay what they were called.
+    let old = node(&failed, "balance")["job"].as_str().expect("a job").to_string();
+    assert_eq!(region.latch(&["wait", &old]).status.code(), Some(5), "withdrawn for good");
+}
+
+/// Urgency decides for both kinds: an urgent node passes waiting plain tasks, an urgent plain job waiting nodes.
+#[test]
+fn one_order_for_both_kinds() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let region = Region::start(&folder.path().join("r"), &["default=0:0"]);
+    let graph = |urgency: &str| {
+        format!(
+            "graph = \"g\"\nnode \"n\" {{\n  urgency = \"{urgency}\"\n  tasks = 24\n  guess_s = 0.2\n  command = [\"sleep\", \"0.2\"]\n}}\n"
+        )
+    };
+    for (urgent, other) in [("node", "plain"), ("plain", "node")] {
+        let mut jobs = BTreeMap::new();
+        for (kind, urgency) in [(other, "low"), (urgent, "critical")] {
+            let job = if kind == "plain" {
+                region.submit(&[
+                    "--tasks",
+                    "24",
+                    "--urgency",
+                    urgency,
+                    "--guess-s",
+                    "0.2",
+                    "--",
+                    "sleep",
+                    "0.2",
+                ])
+            } else {
+                let file = folder.path().join(format!("{urgency}.hcl"));
+                fs::write(&file, graph(urgency)).expect("a file");
+                let run = format!("{urgency}-{urgent}");
+                let sent = region.latch(&["graph", "submit", &file.display().to_string(), "--run", &run]);
+                assert!(sent.status.success(), "{}", String::from_utf8_lossy(&sent.stderr));
+                node(&detail(&region, &run), "n")["job"].as_str().expect("a job").to_string()
+            };
+            jobs.insert(urgency, job);
+        }
+        for job in jobs.values() {
+            assert!(region.latch(&["wait", job, "--timeout", "90"]).status.success());
+        }
+        let spans = spans(&region);
+        assert!(spans[&jobs["critical"]].1 < spans[&jobs["low"]].1, "{urgent}: the urgent one is done first");
+    }
+}
+
+/// What is wrong with a graph is refused before anything of it is there.
+#[test]
+fn wrong_graphs_are_refused() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let region = Region::start(&folder.path().join("r"), &["default=0:2"]);
+    let submit = |text: &str| {
+        let file = folder.path().join("g.hcl");
+        fs::write(&file, text).expect("a file");
+        let output = region.latch(&["graph", "submit", &file.display().to_string(), "--run", "r"]);
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let circle = "graph = \"g\"\nnode \"a\" {\n  after = [\"b\"]\n  command = [\"true\"]\n}\nnode \"b\" {\n  after = [\"a\"]\n  command = [\"true\"]\n}\n";
+    let (code, text) = submit(circle);
+    assert!(
+        code == Some(2) && text.contains("line 6: node \"b\"") && text.contains("in a circle: b -> a -> b"),
+        "{text}"
+    );
+    let (code, text) = submit("graph = \"g\"\nnode \"a\" {\n  cpus = 400\n  command = [\"true\"]\n}\n");
+    assert!(code == Some(4) && text.contains("422"), "{text}");
+    let (code, text) = submit("graph = \"g\"\nnode \"a\" {\n  pool = \"none\"\n  command = [\"true\"]\n}\n");
+    assert!(code == Some(4) && text.contains("unknown pool"), "{text}");
+    assert_eq!(region.latch(&["graph", "show", "r"]).status.code(), Some(1));
+    assert_eq!(region.json(&["graph", "list"])[0]["runs"].as_array().map(Vec::len), Some(0));
+}
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -21,7 +21,7 @@
     #[error("no answer within {seconds:.0} s from {tried}")]
     NoAnswer { seconds: f64, tried: String },
     #[error("{status}: {text}")]
-    Refused { status: u16, text: String },
+    Refused { status: u16, text: String, body: Vec<u8> },
     #[error("an answer that is not as expected: {0}")]
     Answer(#[from] serde_json::Error),
     #[error("the context names no desk: descriptions and logs have no place to go")]
@@ -113,7 +113,7 @@
         Client { context, deadline, first, rng }
     }
 
-    fn ask(&mut self, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, ClientError> {
+    pub(crate) fn ask(&mut self, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, ClientError> {
         let controllers = self.context.controllers.clone();
         let start = Instant::now();
         let now_ms = || start.elapsed().as_millis() as u64;
@@ -144,7 +144,7 @@
         }
     }
 
-    fn get<T: DeserializeOwned>(&mut self, path: &str) -> Result<T, ClientError> {
+    pub(crate) fn get<T: DeserializeOwned>(&mut self, path: &str) -> Result<T, ClientError> {
         Ok(serde_json::from_slice(&self.ask("GET", path, b"")?)?)
     }
 
@@ -209,6 +209,11 @@
         self.desk("PUT", &format!("/descriptions/{id}"), description.to_string().as_bytes()).map(drop)
     }
 
+    /// What workers know of a job.
+    pub fn description(&self, id: &str) -> Result<Value, ClientError> {
+        Ok(serde_json::from_slice(&self.desk("GET", &format!("/descriptions/{id}"), b"")?)?)
+    }
+
     pub fn logs(&self, id: &str, task: u32) -> Result<Described, ClientError> {
         Ok(serde_json::from_slice(&self.desk("GET", &format!("/logs/{id}/{task}"), b"")?)?)
     }
@@ -220,5 +225,9 @@
 }
 
 fn refused(response: &Response) -> ClientError {
-    ClientError::Refused { status: response.status, text: error_text(&response.body) }
+    ClientError::Refused {
+        status: response.status,
+        text: error_text(&response.body),
+        body: response.body.clone(),
+    }
 }
--- a/crates/client/src/jobs.rs
+++ b/crates/client/src/jobs.rs
@@ -241,7 +241,10 @@
     #[test]
     fn the_examples_are_good() {
         let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
-        let files = std::fs::read_dir(folder).expect("the examples").flatten();
+        // Graph files are another form: olivelatch-flow checks them.
+        let graph = |path: &Path| std::fs::read_to_string(path).is_ok_and(|text| text.contains("\ngraph "));
+        let files =
+            std::fs::read_dir(folder).expect("the examples").flatten().filter(|file| !graph(&file.path()));
         let checked = files
             .map(|file| JobFile::load(&file.path()).and_then(|f| f.prepare()).expect("a good file").len());
         assert!(checked.sum::<usize>() > 0);
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod contexts;
+mod graphs;
 mod jobs;
 mod tries;
 
--- /dev/null
+++ b/deploy/graphs.hcl
@@ -0,0 +1,16 @@
+# Graphs, with the operators' interface that they are asked about over (docs/flows.md). To be turned on at all
+# controllers, and only when all of them have a version that knows graphs.
+
+operators {
+  enabled = true
+}
+
+graphs {
+  enabled   = true
+  kept_runs = 50 # ended runs that can be looked at and done over
+
+  # Tasks at a time of nodes that name the pool.
+  pools = {
+    billing = 8
+  }
+}
