A refused run may be sent once more under its name: loose parts can be replaced

Cause: after a refusal (422) the parts stayed, and a mended file under the same run name got 409 until they were swept, ten minutes later. Found by the test of refusals on loopback. Parts that nothing counts yet may be replaced; replacing rewrites olivelatch/graphs, so that a commit that looked at the earlier ones fails its guard.

--- a/crates/cli/tests/graphs.rs
+++ b/crates/cli/tests/graphs.rs
@@ -271,4 +271,8 @@
     assert!(code == Some(4) && text.contains("unknown pool"), "{text}");
     assert_eq!(region.latch(&["graph", "show", "r"]).status.code(), Some(1));
     assert_eq!(region.json(&["graph", "list"])[0]["runs"].as_array().map(Vec::len), Some(0));
+    // Mended, it goes through under the same name: what was refused is in nobody's way.
+    let (code, text) = submit("graph = \"g\"\nnode \"a\" {\n  command = [\"true\"]\n}\n");
+    assert_eq!(code, Some(0), "{text}");
+    assert!(region.latch(&["graph", "wait", "r", "--timeout", "60"]).status.success());
 }
--- a/src/coordination/graphs.rs
+++ b/src/coordination/graphs.rs
@@ -12,7 +12,7 @@
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{GRAPHS, Key};
 use crate::bookkeeping::run_listing::run_row;
-use crate::ids::{JobId, Millis, Revision};
+use crate::ids::{JobId, Millis};
 use crate::protocol::Answer;
 use crate::protocol::graphs::{
     GraphHeader, GraphPart, GraphRequest, MOST_PARTS, PartsUpload, RedoRequest, RunName,
@@ -205,37 +205,61 @@
     }
     let largest = (ground.settings.state_limits.value_kb * 1024.0) as usize;
     let mut guards = vec![guard(ground.mirror, &Key::Graph(run.clone()))];
-    let (mut changes, mut bytes, mut rest) = (Vec::new(), 0, false);
+    let (mut changes, mut bytes, mut rest, mut replaces) = (Vec::new(), 0, false, false);
     for (part, piece) in (upload.first..).zip(&upload.parts) {
         let key = Key::Part(run.clone(), part);
         let value = serde_json::to_string(piece).unwrap_or_default();
         if value.len() > largest {
             return refuse(400, &format!("part {part} is {} bytes: at most {largest} are kept", value.len()));
         }
-        if known.is_some_and(|run| run.parts.contains(&part)) {
-            match same_part(known, part, piece) {
-                true => continue,
-                false => return refuse(409, &format!("part {part} is there with another content")),
-            }
+        match known.map_or(There::No, |run| there(run, part, piece)) {
+            There::Same => continue,
+            There::Claimed => return refuse(409, &format!("part {part} is there with another content")),
+            There::Other => replaces = true,
+            There::No => {}
         }
-        if changes.len() + 1 > most || (bytes > 0 && bytes + value.len() > LARGEST_TXN) {
+        // Room for the word that something was replaced.
+        if changes.len() + 2 > most || (bytes > 0 && bytes + value.len() > LARGEST_TXN) {
             rest = true;
             break;
         }
         bytes += value.len() + 200;
-        guards.push(Guard { key: key.text(), stamp: Revision(0) });
+        guards.push(guard(ground.mirror, &key));
         changes.push(Change::Put { key: key.text(), value, lease: None });
     }
     let stored = Answer::json(200, &serde_json::json!({"run": run.as_str(), "parts": upload.parts.len()}));
     if changes.is_empty() {
         return Decision::Answer(stored);
     }
+    if replaces {
+        // A commit that has looked at what was there before must fail its guard.
+        guards.push(guard(ground.mirror, &Key::Graphs));
+        changes.push(acceptance(ground));
+    }
     Decision::Write { guards, changes, then: (!rest).then_some(stored) }
 }
 
-/// Of a run that was accepted, the parts of the graph itself are not kept: nobody has reason to send others.
-fn same_part(run: Option<&Run>, part: u32, piece: &GraphPart) -> bool {
-    run.and_then(|run| run.pieces.get(&part)).is_none_or(|known| known == piece)
+/// What is known of a part that is sent.
+enum There {
+    No,
+    Same,
+    /// Nothing counts it yet, as the run was refused or is being written anew: it may be replaced.
+    Other,
+    Claimed,
+}
+
+fn there(run: &Run, part: u32, piece: &GraphPart) -> There {
+    if !run.parts.contains(&part) {
+        return There::No;
+    }
+    let claimed = run.accepted.is_some() && part < run.next_part();
+    match run.pieces.get(&part) {
+        // Of a run that was accepted the parts of the graph itself are not kept: nobody has reason to send others.
+        None => There::Same,
+        Some(known) if known == piece => There::Same,
+        Some(_) if claimed => There::Claimed,
+        Some(_) => There::Other,
+    }
 }
 
 fn commit(name: &RunName, header: &GraphHeader, ground: &Ground<'_>) -> Decision {
