Long queues are not gone through to their ends; new jobs are marked once a batch

Cause: a takeover with 50 graphs of 1,000 nodes took 165 ms over one step, and a fan-out of 10,000 nodes 190 ms: each task bound looked at every job of its machine's queue, and each new job marked all jobs' guarantees anew. What comes later in rank cannot come first once one was found that nothing of its urgency beats (tested against looking at all); jobs of one answer are marked together.

Tried without effect and reverted: at most 500 tasks bound a step. Scenarios split into tests/world, measurements in tests/scale.rs.

--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -242,6 +242,8 @@
     pub work: BTreeMap<JobIx, Work>,
     pub usage: HashMap<TeamIx, Amount>,
     teams: HashMap<TeamIx, Team>,
+    /// Some job fits into its team's guarantee.
+    some_guaranteed: bool,
     pub kinds: BTreeMap<KindIx, Kind>,
     /// Within what time a class's jobs should be done, by the settings' objectives.
     pub aims: HashMap<ClassIx, Vec<u64>>,
@@ -308,6 +310,7 @@
             work: BTreeMap::new(),
             usage: HashMap::new(),
             teams: HashMap::new(),
+            some_guaranteed: false,
             kinds: BTreeMap::new(),
             aims: HashMap::new(),
             backlog: Queue::default(),
@@ -392,7 +395,7 @@
         self.roster.backlog_due = true;
     }
 
-    /// A job that the mirror holds. Its ready tasks are queued by `queue_missing`.
+    /// A job that the mirror holds. Its ready tasks are queued by `queue_all`.
     pub fn add_job(&mut self, ix: JobIx, mirror: &Mirror, _clock: Clock) {
         let Some(job) = mirror.job(ix) else { return };
         if job.end.is_some() {
@@ -444,11 +447,7 @@
         (work / (open / 4).max(1)).min(MOST_SIZE_MS)
     }
 
-    /// Queues every task of a job that is neither finished, nor out, nor queued: for new jobs.
-    pub fn queue_missing(&mut self, ix: JobIx) {
-        self.queue_all([ix]);
-    }
-
+    /// Queues every task of new jobs that is neither finished nor out.
     pub fn queue_all(&mut self, jobs: impl IntoIterator<Item = JobIx>) {
         jobs.into_iter().for_each(|ix| self.queue_tasks(ix));
         self.mark_guaranteed();
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -1,6 +1,6 @@
 //! The ordinary path: the t split, dedicated first, sampled half steals, spills over tt.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -246,7 +246,7 @@
 
     /// Tasks that no machine could take, once one may.
     fn spread_backlog(&mut self) {
-        for rank in self.backlog.ranks() {
+        for rank in self.backlog.ranks().copied().collect::<Vec<Rank>>() {
             let Some(work) = self.work.get(&rank.job) else {
                 continue;
             };
@@ -305,12 +305,19 @@
         let queue = if dedicated { &machine.dedicated } else { &machine.shared };
         let free = machine.free();
         let mut limited = false;
-        let able = queue.ranks().into_iter().filter(|rank| {
+        let mut first: Option<Turn> = None;
+        for rank in queue.ranks() {
+            // Long queues are not gone through to their ends: what comes later in rank cannot come before this one.
+            if first.is_some_and(|first| first.before_all_behind(rank, self.some_guaranteed)) {
+                break;
+            }
             let may = self.may_start(ix, &free, rank.job);
             limited |= may.is_none();
-            may == Some(true)
-        });
-        let Some(turn) = able.filter_map(|rank| self.turn(&rank, clock)).min() else {
+            if may == Some(true) {
+                first = self.turn(rank, clock).into_iter().chain(first).min();
+            }
+        }
+        let Some(turn) = first else {
             if limited {
                 self.roster.limited(ix);
             }
@@ -396,7 +403,7 @@
         let taken = match longest {
             Some((count, victim)) if count > 0 => {
                 let ranks = self.machines[victim.at()].shared.ranks();
-                let jobs: Vec<JobIx> = ranks.iter().map(|rank| rank.job).filter(|job| wanted(*job)).collect();
+                let jobs: HashSet<JobIx> = ranks.map(|rank| rank.job).filter(|job| wanted(*job)).collect();
                 let half = count.div_ceil(2);
                 self.machines[victim.at()].shared.take_back(half, |job| jobs.contains(&job))
             }
@@ -469,7 +476,7 @@
         if recent > 0 {
             return recent as f64 / up;
         }
-        let first = machine.dedicated.ranks().first().and_then(|rank| self.work.get(&rank.job));
+        let first = machine.dedicated.first().and_then(|rank| self.work.get(&rank.job));
         let promised = first.map_or(0.0, |work| {
             let slots = work.info.need.count_in(&machine.size).min(1000) as f64;
             slots * 1000.0 / work.length_ms().max(1) as f64
--- a/src/coordination/leader/placement/policy.rs
+++ b/src/coordination/leader/placement/policy.rs
@@ -64,6 +64,12 @@
     pub fn new(rank: &Rank, guaranteed: bool, hopeless: bool) -> Turn {
         Turn { urgency: rank.urgency, borrows: !guaranteed, hopeless, rank: *rank }
     }
+
+    /// Does it certainly come before this rank and all behind it? `some_guaranteed`: there are jobs within a guarantee.
+    pub fn before_all_behind(&self, rank: &Rank, some_guaranteed: bool) -> bool {
+        let best_of_its_urgency = !self.hopeless && (!self.borrows || !some_guaranteed);
+        self.urgency < rank.urgency || (best_of_its_urgency && self.rank < *rank)
+    }
 }
 
 #[cfg(test)]
@@ -103,6 +109,39 @@
         Turn::new(&Rank::new(JobIx(at), &info, due * 1000, 0), guaranteed, hopeless)
     }
 
+    /// Whoever is passed over unseen would not have come first: held against looking at all.
+    #[test]
+    fn looking_no_further_finds_the_same() {
+        let mut all = Vec::new();
+        for urgency in ["high", "normal"] {
+            for (guaranteed, hopeless) in [(true, false), (true, true), (false, false), (false, true)] {
+                for due in [60, 300, 900] {
+                    all.push((urgency, guaranteed, hopeless, 0, due, None));
+                }
+            }
+        }
+        for skipped in 0..all.len() {
+            for some_guaranteed in [true, false] {
+                let claims = all
+                    .iter()
+                    .skip(skipped)
+                    .filter(|claim| some_guaranteed || !claim.1)
+                    .step_by(skipped % 3 + 1);
+                let mut turns: Vec<Turn> =
+                    claims.enumerate().map(|(at, claim)| turn(at as u32, *claim)).collect();
+                turns.sort_by_key(|turn| turn.rank);
+                let mut first: Option<Turn> = None;
+                for turn in &turns {
+                    if first.is_some_and(|first| first.before_all_behind(&turn.rank, some_guaranteed)) {
+                        break;
+                    }
+                    first = first.into_iter().chain([*turn]).min();
+                }
+                assert_eq!(first, turns.iter().min().copied());
+            }
+        }
+    }
+
     /// The first of each pair gets the last place, whichever asks first.
     #[test]
     fn the_table_of_who_comes_first() {
--- a/src/coordination/leader/placement/queues.rs
+++ b/src/coordination/leader/placement/queues.rs
@@ -26,8 +26,8 @@
     }
 
     /// The jobs in order of service.
-    pub fn ranks(&self) -> Vec<Rank> {
-        self.tasks.keys().copied().collect()
+    pub fn ranks(&self) -> impl DoubleEndedIterator<Item = &Rank> {
+        self.tasks.keys()
     }
 
     /// The job whose turn comes first.
@@ -51,7 +51,8 @@
     /// the owner goes on with its first, the taker gets its last.
     pub fn take_back(&mut self, most: usize, wanted: impl Fn(JobIx) -> bool) -> Vec<(Rank, u32)> {
         let mut taken = Vec::new();
-        for rank in self.ranks().into_iter().rev() {
+        let ranks: Vec<Rank> = self.ranks().rev().copied().collect();
+        for rank in ranks {
             if !wanted(rank.job) {
                 continue;
             }
--- a/src/coordination/leader/placement/teams.rs
+++ b/src/coordination/leader/placement/teams.rs
@@ -12,12 +12,15 @@
         let mut jobs: Vec<&mut Work> = self.work.values_mut().collect();
         jobs.sort_by_key(|work| work.info.seq);
         let mut taken: HashMap<TeamIx, Amount> = HashMap::new();
+        let mut some = false;
         for work in jobs {
             let Some(team) = self.teams.get(&work.info.team) else { continue };
             let all = taken.entry(work.info.team).or_default();
             all.add(&work.info.need.times(u64::from(work.left())));
             work.guaranteed = all.cpu <= team.guaranteed.cpu && all.gpu <= team.guaranteed.gpu;
+            some |= work.guaranteed;
         }
+        self.some_guaranteed = some;
     }
 
     fn used_by(&self, team: TeamIx) -> Amount {
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -388,11 +388,12 @@
     }
 
     fn notice(&mut self, clock: Clock, seen: &[Seen]) {
+        let mut new = Vec::new();
         for seen in seen {
             match (seen, &mut self.leader) {
                 (Seen::Job(ix), Some(leader)) => {
                     leader.add_job(*ix, &self.mirror, clock);
-                    leader.queue_missing(*ix);
+                    new.push(*ix);
                 }
                 (Seen::Ended(id, End::Withdrawn), Some(leader)) => {
                     let ix = self.mirror.find(*id);
@@ -403,6 +404,9 @@
                 _ => {}
             }
         }
+        if let Some(leader) = self.leader.as_mut().filter(|_| !new.is_empty()) {
+            leader.queue_all(new);
+        }
         let ours = self.leadership.token();
         let shown = self.mirror.leader.as_ref().map(|leader| leader.revision);
         if let (Some(leader), Some(token)) = (&self.leader, ours)
@@ -420,6 +424,7 @@
             return;
         };
         let live: Vec<_> = self.mirror.live().map(|(ix, job)| (ix, job.info.id, job.end)).collect();
+        let mut new = Vec::new();
         for (ix, id, end) in live {
             match end {
                 Some((End::Withdrawn, at)) if leader.work.contains_key(&ix) => {
@@ -427,11 +432,14 @@
                 }
                 None if !leader.work.contains_key(&ix) => {
                     leader.add_job(ix, &self.mirror, clock);
-                    leader.queue_missing(ix);
+                    new.push(ix);
                 }
                 _ => {}
             }
         }
+        if !new.is_empty() {
+            leader.queue_all(new);
+        }
     }
 
     /// The mirror holds all that earlier leaders could write: nothing of theirs succeeds later.
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,278 @@
+//! Measurements in virtual time, for docs/measurements.md; not part of CI:
+//!     cargo test --release --test scale -- --ignored --nocapture --test-threads 1
+
+mod world;
+
+use olivelatch::coordination::{CallId, Input, Output};
+use olivelatch::protocol::Outcome;
+use olivelatch::protocol::operators::read_operator;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use world::{STEP_MS, World};
+
+#[test]
+#[ignore = "a measurement"]
+fn lists_and_explanations_at_size() {
+    let mut world = World::new();
+    let lines = [
+        "operators explains_per_s=100000",
+        "settings state rps=100000 write_rps=100000",
+        "team core max=5200",
+        "kind small cpus=4 boot=2 count=0",
+        "machines small a 1300",
+        "nodes a b c",
+        "until 5 leader = any",
+        "until 30 workers = 1300",
+        "submit 900001 tasks=5200 run=1000 guess=1000",
+        "until 60 tasks >= 5000",
+        "submit 900002 tasks=100 run=10",
+        "advance 5",
+    ];
+    for at in 0..100_000_u64 {
+        let detail = json!({"team": "core", "class": "work", "tasks": 3, "accepted": 5});
+        world
+            .state
+            .put(&format!("olivelatch/end/job-{at:06}"), json!({"end": "done", "at": 7, "detail": detail}));
+    }
+    for line in lines {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        world.command(&words).expect(line);
+    }
+    let at = world.node("leader");
+    let follower = (at + 1) % 3;
+    for (what, at, path) in [
+        ("explain, a job behind its team's limit", at, "jobs/job-900002/explain"),
+        ("explain, a job of 5,200 running tasks", at, "jobs/job-900001/explain"),
+        ("list, 500 of 100,000 ended", at, "jobs?limit=500"),
+        ("list, live ones behind 100,000 ended", at, "jobs?state=live&limit=500"),
+        ("list, 500 of 100,000 ended, a follower", follower, "jobs?limit=500"),
+        ("inspect, 500 tasks of 5,200", at, "jobs/job-900001?limit=500"),
+        ("explain once more, behind the team's limit", at, "jobs/job-900002/explain"),
+    ] {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let mut took = Vec::new();
+        let mut bytes = 0;
+        for _ in 0..50 {
+            let request = read_operator(path, query).expect("a path").expect("a question");
+            world.next_call += 1;
+            let call = CallId(world.next_call);
+            let clock = world.clock();
+            let node = world.nodes[at].node.as_mut().expect("a node");
+            node.take(clock, Input::Operator { call, request });
+            // Its poll and the barrier: what the node does until the answer is there.
+            for _ in 0..20 {
+                world.now += STEP_MS;
+                let clock = world.clock();
+                let Some(node) = world.nodes[at].node.as_mut() else { continue };
+                let outputs = node.step(clock);
+                let mut answered = false;
+                for output in outputs {
+                    if let Output::State { ask, request, .. } = output {
+                        let asked = request.to_call();
+                        let (status, body) =
+                            world.state.call(asked.method, &asked.path, &asked.body, world.now);
+                        let outcome = Outcome::Response { status, body: body.to_string().into_bytes() };
+                        let node = world.nodes[at].node.as_mut().expect("a node");
+                        let started = std::time::Instant::now();
+                        let out = node.take(clock, Input::State { ask, outcome });
+                        for output in out {
+                            if let Output::Answer { call: answered_call, answer } = output
+                                && answered_call == call
+                            {
+                                took.push(started.elapsed().as_micros() as u64);
+                                bytes = answer.body.len();
+                                answered = true;
+                            }
+                        }
+                    }
+                }
+                if answered {
+                    break;
+                }
+            }
+            // Workers and the other nodes go on meanwhile.
+            (0..25).for_each(|_| world.step());
+        }
+        took.sort_unstable();
+        println!(
+            "{what}: {} us in the median, {} at most, {bytes} bytes",
+            took[took.len() / 2],
+            took[took.len() - 1]
+        );
+    }
+}
+
+fn world(lines: &[&str]) -> World {
+    let mut world = World::new();
+    play(&mut world, lines);
+    world
+}
+
+fn play(world: &mut World, lines: &[&str]) {
+    for line in lines {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        world.command(&words).unwrap_or_else(|problem| panic!("{line}: {problem}"));
+    }
+}
+
+const REGION: [&str; 9] = [
+    "graphs most_nodes=100000",
+    "settings state rps=500 write_rps=250 txn_ops=64",
+    "team core",
+    "kind big cpus=64 boot=1 count=0",
+    "machines big a 40",
+    "nodes a b c",
+    "until 10 leader = any",
+    "until 20 workers = 40",
+    "advance 2",
+];
+
+const NODE: &str = "run=1 guess=1 cpus=1 memory=0.1 size=0";
+
+/// What comes after what, by the graph's sort.
+fn shape(sort: &str, nodes: u64) -> Vec<Vec<u64>> {
+    let mut rng = SmallRng::seed_from_u64(16);
+    (0..nodes)
+        .map(|at| match sort {
+            "fan-out" if at > 0 => vec![0],
+            "fan-in" if at + 1 == nodes => (0..at).collect(),
+            "pipeline" if at > 0 => vec![at - 1],
+            // A few of the hundred before it.
+            "random" if at > 0 => {
+                let mut before: Vec<u64> = (0..rng.random_range(0..4u64))
+                    .map(|_| rng.random_range(at.saturating_sub(100)..at))
+                    .collect();
+                before.sort_unstable();
+                before.dedup();
+                before
+            }
+            _ => Vec::new(),
+        })
+        .collect()
+}
+
+fn draft(world: &mut World, run: &str, first: u64, shape: &[Vec<u64>]) {
+    for (at, after) in shape.iter().enumerate() {
+        let all = after.len() + 1 == shape.len() && after.len() > 100;
+        let names: Vec<String> = after.iter().map(|up| format!("n{up}")).collect();
+        let after = match (all, names.is_empty()) {
+            (true, _) => " after=n*".to_string(),
+            (_, true) => String::new(),
+            _ => format!(" after={}", names.join(",")),
+        };
+        // The last of a fan-in has a name that `n*` does not take in.
+        let name = if all { "last".to_string() } else { format!("n{at}") };
+        play(world, &[&format!("node {run} {name} {}{after} {NODE}", first + at as u64)]);
+    }
+}
+
+/// Nodes on the longest way through a graph.
+fn longest(shape: &[Vec<u64>]) -> u64 {
+    let mut layers = vec![1; shape.len()];
+    for (at, after) in shape.iter().enumerate() {
+        layers[at] = after.iter().map(|up| layers[*up as usize] + 1).max().unwrap_or(1);
+    }
+    layers.into_iter().max().unwrap_or(0)
+}
+
+/// From the last end that a node waited for, as it is stored, to its first task's image.
+fn delays(world: &World, first: u64, shape: &[Vec<u64>]) -> Vec<u64> {
+    let name = |at: u64| format!("job-{:06}", first + at);
+    let ended = |at: u64| {
+        let end = world.state.get(&format!("olivelatch/end/{}", name(at)))?;
+        Some(end["at"].as_u64()? - 1_700_000_000_000)
+    };
+    let delay = |(at, after): (usize, &Vec<u64>)| {
+        let last = after.iter().filter_map(|up| ended(*up)).max()?;
+        Some(world.started.get(&name(at as u64))?.saturating_sub(last))
+    };
+    let mut all: Vec<u64> = shape.iter().enumerate().filter_map(delay).collect();
+    all.sort_unstable();
+    all
+}
+
+fn told(world: &World, what: &str, nodes: u64, began: u64, before: (u64, std::time::Duration)) {
+    let seconds = (world.now - began) as f64 / 1000.0;
+    println!(
+        "{what}: {nodes} in {seconds:.1} s, {:.1} a second; {:.2} changes each; {:.0} us of processor time each, {:.1} ms over one event at most ({})",
+        nodes as f64 / seconds,
+        (world.written - before.0) as f64 / nodes as f64,
+        (world.spent.all - before.1).as_micros() as f64 / nodes as f64,
+        world.spent.most.as_micros() as f64 / 1000.0,
+        world.spent.kind,
+    );
+}
+
+/// 10,000 plain jobs, then 10,000 nodes of graphs of four sorts, on the same 40 machines.
+#[test]
+#[ignore = "a measurement"]
+fn nodes_and_plain_jobs_at_size() {
+    const NODES: u64 = 10_000;
+    let mut plain = world(&REGION);
+    let (began, before) = (plain.now, (plain.written, plain.spent.all));
+    for at in 0..NODES {
+        play(&mut plain, &[&format!("submit {} {NODE}", 1 + at)]);
+        // As fast as users can come through: submissions are held and refused beyond that.
+        if at % 50 == 49 {
+            play(&mut plain, &["advance 0.2"]);
+        }
+    }
+    while plain.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count() < NODES as usize {
+        plain.step();
+    }
+    told(&plain, "plain jobs", NODES, began, before);
+    for sort in ["fan-out", "fan-in", "random", "pipeline"] {
+        let nodes = if sort == "pipeline" { 1_000 } else { NODES };
+        let shape = shape(sort, nodes);
+        let mut world = world(&REGION);
+        draft(&mut world, "r", 1, &shape);
+        let (began, before) = (world.now, (world.written, world.spent.all));
+        play(&mut world, &["commit r g"]);
+        while world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count() < nodes as usize {
+            world.step();
+        }
+        told(&world, sort, nodes, began, before);
+        println!("  {} layers", longest(&shape));
+        let delays = delays(&world, 1, &shape);
+        if let (Some(middle), Some(late)) =
+            (delays.get(delays.len() / 2), delays.get(delays.len() * 99 / 100))
+        {
+            println!("  start after the last upstream end: {middle} ms in the median, {late} ms at p99");
+        }
+    }
+}
+
+/// 50 runs of 1,000 nodes under way; all controllers die, and the next leader reads everything anew.
+#[test]
+#[ignore = "a measurement"]
+fn takeover_with_fifty_graphs() {
+    let mut world = world(&REGION);
+    let shape = shape("random", 1_000);
+    for run in 0..50u64 {
+        draft(&mut world, &format!("r{run}"), 1 + run * 1_000, &shape);
+        play(&mut world, &[&format!("commit r{run} g{run}"), "advance 1"]);
+    }
+    play(&mut world, &["until 60 sent", "advance 5"]);
+    let ends = world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count();
+    println!(
+        "before: {ends} of 50,000 nodes have ended, {:.1} ms over one event at most",
+        world.spent.most.as_micros() as f64 / 1000.0
+    );
+    world.spent = Default::default();
+    let began = world.now;
+    play(&mut world, &["kill n0", "kill n1", "kill n2", "start-all", "until 60 leader = any"]);
+    println!(
+        "takeover: a leader after {:.1} s; {:.0} ms of processor time of three controllers, {:.1} ms over one event at most ({})",
+        (world.now - began) as f64 / 1000.0,
+        world.spent.all.as_micros() as f64 / 1000.0,
+        world.spent.most.as_micros() as f64 / 1000.0,
+        world.spent.kind,
+    );
+    let before = world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count();
+    let began = world.now;
+    while world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count() < before + 500 {
+        world.step();
+    }
+    println!("500 further ends after {:.1} s", (world.now - began) as f64 / 1000.0);
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,627 @@
+//! A region in virtual time: real controllers (coordination and bookkeeping), stand-ins around them, and the rules of the
+//! users' protocol checked at every start of a task.
+
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
+mod asked;
+mod conditions;
+pub mod flows;
+mod graphs;
+mod rules;
+mod verbs;
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::{Duration, Instant};
+
+use asked::{About, Asked};
+use flows::Flows;
+use olivelatch::coordination::node::Node;
+use olivelatch::coordination::{CallId, Clock, Input, Output};
+use olivelatch::ids::{JobId, Millis};
+use olivelatch::protocol::graphs::GraphAsked;
+use olivelatch::protocol::users::{UserRequest, read_submission};
+use olivelatch::protocol::workers::read_report;
+use olivelatch::protocol::{Answer, Outcome};
+use olivelatch::settings::Settings;
+use olivelatch::tunables::Tunables;
+use olivelatch_region::Cloud;
+use olivelatch_store::Engine;
+use olivelatch_worker::{Description, Descriptions, GangTimes, Work, Worker, coordinate};
+use serde_json::{Value, json};
+
+pub const STEP_MS: u64 = 20;
+const START_MS: u64 = 100_000;
+
+pub struct Slot {
+    pub node: Option<Node>,
+    name: String,
+    zone: String,
+    cuts: HashSet<String>,
+    life: u64,
+}
+
+impl Slot {
+    pub fn leads(&self) -> bool {
+        self.node.as_ref().is_some_and(|node| node.leader().is_some())
+    }
+}
+
+pub struct World {
+    pub now: u64,
+    config: Value,
+    tunables: String,
+    pub nodes: Vec<Slot>,
+    pub state: Engine,
+    outage: bool,
+    cloud: Cloud,
+    cloud_down: bool,
+    workers: Vec<Worker>,
+    hung: HashSet<String>,
+    worker_node: Vec<(usize, u64, Option<u64>)>,
+    jobs: Descriptions,
+    /// Since when an attempt of a gang lacks a member.
+    broken_gangs: BTreeMap<(String, u64), u64>,
+    specs: BTreeMap<String, Value>,
+    accepted: HashSet<String>,
+    retries: Vec<(u64, String)>,
+    /// Cancellations that no node has taken yet, and when they are repeated.
+    aborts: BTreeMap<String, u64>,
+    withdrawn: BTreeMap<String, u64>,
+    final_states: BTreeMap<String, String>,
+    calls: BTreeMap<(usize, u64), Call>,
+    pub next_call: u64,
+    broken: Vec<String>,
+    zone_cuts: HashSet<(String, String)>,
+    lost_direct: bool,
+    /// Answers with changes are longer than a controller may hold.
+    long_changes: bool,
+    held_direct: Vec<(usize, Vec<u8>)>,
+    /// What becomes of transactions while their answers are lost.
+    txns: Txns,
+    held_txns: Vec<Vec<u8>>,
+    pub counters: BTreeMap<&'static str, u64>,
+    asked: Asked,
+    pub flows: Flows,
+    /// Processor time of the controllers' own code.
+    pub spent: Spent,
+    /// Changes that the state service has carried out.
+    pub written: u64,
+    /// When the first task of each job got its image.
+    pub started: BTreeMap<String, u64>,
+    /// Final states when an operator's question went out: an answer must not be older.
+    known_then: BTreeMap<(usize, u64), BTreeMap<String, String>>,
+}
+
+/// How long controllers took over their events, all together and at most over one.
+#[derive(Default, Clone, Copy)]
+pub struct Spent {
+    pub all: Duration,
+    pub most: Duration,
+    /// What that event was.
+    pub kind: &'static str,
+}
+
+impl Spent {
+    fn add(&mut self, took: Duration, kind: &'static str) {
+        self.all += took;
+        if took > self.most {
+            (self.most, self.kind) = (took, kind);
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Txns {
+    Fine,
+    /// Carried out, but the answer is lost.
+    Lost,
+    /// Carried out only when they are delivered.
+    Late,
+}
+
+enum Call {
+    User { id: String, expect: Option<u16>, raw: bool },
+    Report { worker: usize, sent: u64, session: u64 },
+    Operator(About),
+    Graph(flows::Send),
+    Run(String),
+}
+
+fn word<'a>(words: &[&'a str], name: &str) -> Option<&'a str> {
+    words.iter().find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+}
+
+fn number(words: &[&str], name: &str, default: f64) -> f64 {
+    word(words, name).map_or(default, |text| text.parse().unwrap_or_else(|_| panic!("{name}={text}")))
+}
+
+impl World {
+    pub fn new() -> World {
+        let config = json!({"node": "n0", "zone": "a", "front": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+            "endpoints": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+            "cluster": {"count": 3, "zones": ["a", "b", "c"], "teams": [], "objectives": [],
+                "workers": {"report_s": 2.0, "lease_s": 12.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0,
+                    "cancel_s": 32.0},
+                "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 4.0, "txn_ops": 8},
+                "cloud": {"rps": 5.0, "list_lag_s": 5.0},
+                "quota": {"core_share": 1.0, "mem_mb": 100.0, "max_connections": 1000},
+                "time_bound_ms": 10.0}});
+        World {
+            now: START_MS,
+            config,
+            tunables: String::new(),
+            nodes: Vec::new(),
+            state: Engine::default(),
+            outage: false,
+            cloud: Cloud::default(),
+            cloud_down: false,
+            workers: Vec::new(),
+            hung: HashSet::new(),
+            worker_node: Vec::new(),
+            jobs: Descriptions::new(),
+            broken_gangs: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            accepted: HashSet::new(),
+            retries: Vec::new(),
+            aborts: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
+            final_states: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            broken: Vec::new(),
+            zone_cuts: HashSet::new(),
+            lost_direct: false,
+            long_changes: false,
+            held_direct: Vec::new(),
+            txns: Txns::Fine,
+            held_txns: Vec::new(),
+            counters: BTreeMap::new(),
+            asked: Asked::default(),
+            flows: Flows::default(),
+            spent: Spent::default(),
+            written: 0,
+            started: BTreeMap::new(),
+            known_then: BTreeMap::new(),
+        }
+    }
+
+    pub fn clock(&self) -> Clock {
+        Clock { now: Millis(self.now), wall_ms: 1_700_000_000_000 + self.now }
+    }
+
+    fn boot(&mut self, at: usize) {
+        let mut config = self.config.clone();
+        config["node"] = json!(self.nodes[at].name);
+        config["zone"] = json!(self.nodes[at].zone);
+        let others = self.nodes.iter().enumerate().filter(|(other, _)| *other != at);
+        let others: Vec<Value> = others
+            .map(|(ix, slot)| json!({"node": slot.name, "zone": slot.zone, "addr": format!("127.0.0.1:{}", ix + 10)}))
+            .collect();
+        config["others"] = json!(others);
+        config["cluster"]["count"] = json!(self.nodes.len());
+        let settings = Settings::parse("scenario", &config.to_string()).expect("settings");
+        let tunables = Tunables::parse("scenario", &self.tunables).expect("tunables");
+        self.nodes[at].life += 1;
+        let seed = at as u64 * 1000 + self.nodes[at].life;
+        self.nodes[at].node = Some(Node::new(settings, tunables, seed, self.clock()));
+    }
+
+    fn cut(&self, node: usize, what: &str) -> bool {
+        let cuts = &self.nodes[node].cuts;
+        cuts.contains(what) || (cuts.contains("all") && what != "none")
+    }
+
+    fn zones_cut(&self, a: &str, b: &str) -> bool {
+        self.zone_cuts.contains(&(a.into(), b.into())) || self.zone_cuts.contains(&(b.into(), a.into()))
+    }
+
+    fn tell(&mut self, at: usize, input: Input) {
+        let clock = self.clock();
+        let Some(node) = self.nodes[at].node.as_mut() else { return };
+        let (began, kind) = (Instant::now(), input.kind());
+        let outputs = node.handle(clock, input);
+        self.spent.add(began.elapsed(), kind);
+        for output in outputs {
+            self.carry_out(at, output);
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, output: Output) {
+        match output {
+            Output::Answer { call, answer } => self.answered(at, call, &answer),
+            Output::State { ask, request, .. } => {
+                let outcome = if self.outage || self.cut(at, "state") {
+                    Outcome::Response { status: 503, body: Vec::new() }
+                } else {
+                    let call = request.to_call();
+                    let mode = if call.path == "/txn" { self.txns } else { Txns::Fine };
+                    if mode == Txns::Late {
+                        self.held_txns.push(call.body.clone());
+                        self.tell(at, Input::State { ask, outcome: Outcome::Unknown });
+                        return;
+                    }
+                    let (status, body) = self.state.call(call.method, &call.path, &call.body, self.now);
+                    if call.path == "/txn" && status == 200 {
+                        let txn: Value = serde_json::from_slice(&call.body).unwrap_or(Value::Null);
+                        self.written += txn["then"].as_array().map_or(0, |changes| changes.len() as u64);
+                    }
+                    match mode {
+                        _ if self.long_changes && call.path.starts_with("/changes") => Outcome::TooLong,
+                        Txns::Lost => Outcome::Unknown,
+                        _ => Outcome::Response { status, body: body.to_string().into_bytes() },
+                    }
+                };
+                self.tell(at, Input::State { ask, outcome });
+            }
+            Output::Cloud { ask, request, .. } => {
+                let outcome = if self.cloud_down {
+                    Outcome::Response { status: 503, body: b"{\"error\":\"trouble\"}".to_vec() }
+                } else {
+                    let call = request.to_call();
+                    let (status, body) = self.cloud.call(call.method, &call.path, &call.body, self.now);
+                    Outcome::Response { status, body: body.to_string().into_bytes() }
+                };
+                self.tell(at, Input::Cloud { ask, outcome });
+            }
+            Output::Orders { ask, endpoint, call, .. } => {
+                let worker = self.workers.iter().position(|worker| worker.machine.endpoint == endpoint);
+                let reach = worker.is_some_and(|worker| self.reaches(at, worker));
+                let outcome = match worker.filter(|_| reach) {
+                    Some(worker) if self.lost_direct => {
+                        self.held_direct.push((worker, call.body.clone()));
+                        Outcome::Unknown
+                    }
+                    Some(worker) => {
+                        let (status, body) = self.workers[worker].direct(&call.body, self.now, &self.jobs);
+                        Outcome::Response { status, body: body.to_string().into_bytes() }
+                    }
+                    None => Outcome::NotSent,
+                };
+                self.tell(at, Input::Orders { ask, outcome });
+            }
+            Output::Mesh { node, message } => {
+                let Some(to) = self.nodes.iter().position(|slot| slot.name == node) else { return };
+                let apart = self.zones_cut(&self.nodes[at].zone, &self.nodes[to].zone);
+                if apart || self.cut(at, "mesh") || self.cut(to, "mesh") {
+                    return;
+                }
+                let from = self.nodes[at].name.clone();
+                self.tell(to, Input::Mesh { node: from, message });
+            }
+        }
+    }
+
+    fn reaches(&self, node: usize, worker: usize) -> bool {
+        let worker = &self.workers[worker];
+        let gone = !self.cloud.machines.iter().any(|machine| machine.name == worker.machine.name);
+        !gone
+            && !self.hung.contains(&worker.machine.name)
+            && !self.cut(node, "workers")
+            && !self.zones_cut(&self.nodes[node].zone, &worker.machine.zone)
+    }
+
+    fn answered(&mut self, at: usize, call: CallId, answer: &Answer) {
+        let Some(waiting) = self.calls.remove(&(at, call.0)) else { return };
+        let body: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        match waiting {
+            Call::Report { worker, sent, session } => {
+                self.report_answered(worker, sent, session, answer.status, &body)
+            }
+            Call::Operator(about) => {
+                let known = self.known_then.remove(&(at, call.0)).unwrap_or_default();
+                let wrong = self.asked.contradiction(&about, answer, &known);
+                let wrong = wrong.or(self.asked.answered(&about, answer, self.now).err());
+                self.broken.extend(wrong);
+            }
+            Call::Graph(send) => {
+                let wrong = self.flows.answered(send, Some(answer), self.now).err();
+                self.broken.extend(wrong);
+                self.accepted.extend(std::mem::take(&mut self.flows.accepted));
+            }
+            Call::Run(path) => {
+                let wrong = self.flows.seen(&path, answer).err();
+                self.broken.extend(wrong);
+            }
+            Call::User { id, expect, raw } => {
+                if let Some(expect) = expect
+                    && answer.status != expect
+                {
+                    self.broken.push(format!("{id}: answered {} instead of {expect}", answer.status));
+                }
+                if answer.status < 300 && !raw {
+                    self.note_status(&id, body["status"].as_str().unwrap_or(""));
+                }
+                if answer.status < 300 && !raw {
+                    self.accepted.insert(id.clone());
+                }
+                let again = answer.status == 503 && expect.is_none() && !raw;
+                if again && self.specs.contains_key(&id) && !self.accepted.contains(&id) {
+                    self.retries.push((self.now + 1000, id.clone()));
+                }
+                if answer.status == 404 && self.accepted.contains(&id) {
+                    self.broken.push(format!("forgotten: {id}"));
+                }
+            }
+        }
+    }
+
+    fn note_status(&mut self, id: &str, status: &str) {
+        if let Some(known) = self.final_states.get(id)
+            && known != status
+        {
+            self.broken.push(format!("went_back: {id} was {known} and is {status}"));
+        }
+        if status == "done" || status == "withdrawn" {
+            self.final_states.insert(id.into(), status.into());
+        }
+        if status == "withdrawn" {
+            self.withdrawn.entry(id.into()).or_insert(self.now);
+        }
+    }
+
+    fn report_answered(&mut self, worker: usize, sent: u64, session: u64, status: u16, body: &Value) {
+        self.worker_node[worker].2 = None;
+        let now = self.now;
+        if status == 200 && self.workers[worker].session == session {
+            self.workers[worker].answer(body, sent, now, &self.jobs);
+            return;
+        }
+        let home =
+            body["home"].as_str().and_then(|home| self.nodes.iter().position(|slot| slot.name == home));
+        let state = &mut self.worker_node[worker];
+        match home.filter(|home| status == 421 && *home != state.0) {
+            Some(home) => *state = (home, now, None),
+            None => *state = ((state.0 + 1) % self.nodes.len(), now + 1000, None),
+        }
+    }
+
+    /// Ask a node that runs; the load balancer would do the same.
+    fn ask(&mut self, request: UserRequest, id: &str, expect: Option<u16>, raw: bool) {
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|at| !self.cut(*at, "users") && self.nodes[*at].node.as_ref().is_some_and(Node::ready))
+            .collect();
+        let Some(at) = up.get(self.next_call as usize % up.len().max(1)).copied() else { return };
+        self.next_call += 1;
+        let call = self.next_call;
+        self.calls.insert((at, call), Call::User { id: id.into(), expect, raw });
+        self.tell(at, Input::User { call: CallId(call), request });
+    }
+
+    /// Users repeat a cancellation until it is answered.
+    fn repeat_aborts(&mut self) {
+        let finals = &self.final_states;
+        self.aborts.retain(|id, _| !finals.contains_key(id));
+        let due: Vec<String> =
+            self.aborts.iter().filter(|(_, at)| **at <= self.now).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.aborts.insert(id.clone(), self.now + 1000);
+            let job = JobId::parse(&id).expect("a job");
+            self.ask(UserRequest::Abort { id: job }, &id, None, false);
+        }
+    }
+
+    /// Operators ask whoever runs, ready or not.
+    fn ask_as_operator(&mut self) {
+        for (about, request) in self.asked.due(self.now) {
+            let up: Vec<usize> = (0..self.nodes.len()).filter(|at| self.nodes[*at].node.is_some()).collect();
+            let Some(at) = up.get(self.next_call as usize % up.len().max(1)).copied() else { return };
+            self.next_call += 1;
+            let call = self.next_call;
+            self.calls.insert((at, call), Call::Operator(about));
+            self.known_then.insert((at, call), self.final_states.clone());
+            self.tell(at, Input::Operator { call: CallId(call), request });
+        }
+    }
+
+    /// Clients of graphs: changes to whoever is ready, questions to whoever runs.
+    fn ask_about_graphs(&mut self) {
+        for send in self.flows.due(self.now) {
+            let GraphAsked::Change(request) = flows::asked("POST", &send.path, &send.body) else { continue };
+            match self.pick(|world, at| {
+                !world.cut(at, "users") && world.nodes[at].node.as_ref().is_some_and(Node::ready)
+            }) {
+                Some(at) => {
+                    let call = self.call(at, Call::Graph(send));
+                    self.tell(at, Input::Graph { call, request });
+                }
+                None => drop(self.flows.answered(send, None, self.now)),
+            }
+        }
+        for path in self.flows.looks(self.now) {
+            let GraphAsked::Look(request) = flows::asked("GET", &path, &Value::Null) else { continue };
+            let Some(at) = self.pick(|world, at| world.nodes[at].node.is_some()) else { return };
+            let call = self.call(at, Call::Run(path));
+            self.tell(at, Input::Operator { call, request });
+        }
+    }
+
+    /// One of the controllers that will do, in turn.
+    fn pick(&self, will_do: impl Fn(&World, usize) -> bool) -> Option<usize> {
+        let up: Vec<usize> = (0..self.nodes.len()).filter(|at| will_do(self, *at)).collect();
+        up.get(self.next_call as usize % up.len().max(1)).copied()
+    }
+
+    fn call(&mut self, at: usize, call: Call) -> CallId {
+        self.next_call += 1;
+        self.calls.insert((at, self.next_call), call);
+        CallId(self.next_call)
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP_MS;
+        self.ask_about_graphs();
+        self.ask_as_operator();
+        self.repeat_aborts();
+        self.boot_machines();
+        let lease = self.config["cluster"]["workers"]["lease_s"].as_f64().unwrap_or(12.0) * 1000.0;
+        for at in 0..self.workers.len() {
+            let here =
+                self.cloud.machines.iter().any(|machine| machine.name == self.workers[at].machine.name);
+            if !here || self.hung.contains(&self.workers[at].machine.name) {
+                // A machine that hangs beyond its lease carries nothing out when it goes on.
+                let over = self.now > self.workers[at].answered + lease as u64;
+                if !here || over {
+                    self.workers[at].step(self.now, lease as u64, &BTreeMap::new());
+                }
+                self.workers[at].pieces.retain(|_| here);
+                continue;
+            }
+            self.workers[at].step(self.now, lease as u64, &self.jobs);
+            self.judge(at);
+            self.report(at);
+        }
+        self.gangs();
+        let (due, rest) = std::mem::take(&mut self.retries).into_iter().partition(|(at, _)| *at <= self.now);
+        self.retries = rest;
+        let due: Vec<(u64, String)> = due;
+        for (_, id) in due {
+            let request = read_submission(self.specs[&id].to_string().as_bytes()).expect("a submission");
+            self.ask(request, &id, None, false);
+        }
+        for at in 0..self.nodes.len() {
+            self.tell(at, Input::Tick);
+        }
+        let seen: Vec<(&'static str, u64)> = self
+            .nodes
+            .iter()
+            .filter_map(|slot| slot.node.as_ref()?.leader())
+            .flat_map(|leader| {
+                let c = &leader.counters;
+                [
+                    ("shared", c.to_shared),
+                    ("dedicated", c.to_dedicated),
+                    ("steals", c.steals),
+                    ("stolen", c.stolen),
+                    ("spilled", c.spilled),
+                    ("preempted", c.preempted),
+                    ("lost", c.lost_machines),
+                    ("bound", c.bound),
+                    ("looked", c.looked_at),
+                    ("changes", c.changes),
+                    ("greeted", c.greeted),
+                    ("greeted_at_once", c.greeted_at_once),
+                ]
+            })
+            .collect();
+        for (name, value) in seen {
+            let most = self.counters.entry(name).or_default();
+            *most = (*most).max(value);
+        }
+    }
+
+    /// Gangs gather and miss their members.
+    fn gangs(&mut self) {
+        let time = |name: &str| self.config["cluster"]["workers"][name].as_f64().unwrap_or(0.0) * 1000.0;
+        let times = GangTimes { wait_ms: time("gang_wait_s") as u64, peer_ms: time("gang_peer_s") as u64 };
+        coordinate(&mut self.workers, self.now, times, &self.jobs, &mut self.broken_gangs);
+        // Nothing runs here but in virtual time.
+        self.workers.iter_mut().for_each(|worker| drop(worker.take_effects()));
+    }
+
+    fn boot_machines(&mut self) {
+        for machine in &self.cloud.machines {
+            let known = self.workers.iter().any(|worker| worker.machine.name == machine.name);
+            if machine.up_at <= self.now && !known {
+                let kind = self.cloud.kinds.iter().find(|kind| kind.name == machine.kind).cloned();
+                let kind = kind.expect("a known kind");
+                let on = machine.machine(&kind, machine.endpoint.clone());
+                self.workers.push(Worker::new(on, self.now));
+                self.worker_node.push((self.workers.len() % self.nodes.len(), self.now, None));
+            }
+        }
+    }
+
+    fn report(&mut self, at: usize) {
+        let (node, due, open) = self.worker_node[at];
+        if let Some(sent) = open {
+            // No response within 4 s: the next node, 1 s later.
+            if self.now >= sent + 4000 {
+                self.worker_node[at] = ((node + 1) % self.nodes.len(), self.now + 1000, None);
+            }
+            return;
+        }
+        let every = (self.config["cluster"]["workers"]["report_s"].as_f64().unwrap_or(2.0) * 1000.0) as u64;
+        let soon = self.workers[at].changed && self.now + every >= due + 500;
+        if self.now < due && !soon {
+            return;
+        }
+        self.workers[at].changed = false;
+        let session = self.workers[at].session;
+        let body = self.workers[at].report(self.now).to_string();
+        self.worker_node[at] = (node, self.now + every, Some(self.now));
+        if self.nodes[node].node.is_none() {
+            self.worker_node[at] = ((node + 1) % self.nodes.len(), self.now + 1000, None);
+            return;
+        }
+        if !self.reaches(node, at) {
+            return;
+        }
+        let report = read_report(body.as_bytes()).expect("a report of the protocol's form");
+        self.next_call += 1;
+        let call = self.next_call;
+        self.calls.insert((node, call), Call::Report { worker: at, sent: self.now, session });
+        self.tell(node, Input::Report { call: CallId(call), report });
+    }
+
+    fn submit(&mut self, words: &[&str]) {
+        let (id, spec, expect) = self.describe(words);
+        let request = read_submission(spec.to_string().as_bytes()).expect("a submission");
+        self.ask(request, &id, expect, false);
+    }
+
+    /// The job's description; workers and the rules know it from now on.
+    fn describe(&mut self, words: &[&str]) -> (String, Value, Option<u16>) {
+        let id = format!("job-{:06}", words[0].parse::<u64>().expect("a job number"));
+        let flag = |name: &str| words.contains(&name);
+        let shape = if flag("gang") {
+            "gang"
+        } else if flag("service") {
+            "daemon"
+        } else {
+            "array"
+        };
+        let spec = json!({"uid": id, "jobclass": word(words, "class").unwrap_or("work"),
+            "owner": word(words, "team").unwrap_or("core"), "shape": shape,
+            "urgency": word(words, "urgency").unwrap_or("normal"), "pieces": number(words, "tasks", 1.0) as u64,
+            "vcpus": number(words, "cpus", 1.0), "accelerators": number(words, "gpus", 0.0),
+            "memory_gb": number(words, "memory", 1.0), "bundle": word(words, "image").unwrap_or("img-1"),
+            "size_gb": number(words, "size", 0.1),
+            "boxkinds": word(words, "kinds").map(|kinds| kinds.split(',').collect::<Vec<_>>()),
+            "hall": word(words, "zone"), "together": flag("together"), "scatter": flag("scatter"),
+            "loaners": flag("spot"), "guess_s": number(words, "guess", number(words, "run", 5.0)),
+            "snapshot_s": number(words, "checkpoint", 0.0), "flush_s": number(words, "save", 1.0),
+            "due_s": word(words, "due").map(|due| due.parse::<f64>().expect("due"))});
+        let run_ms =
+            if shape == "daemon" { u64::MAX / 4 } else { (number(words, "run", 5.0) * 1000.0) as u64 };
+        let expect = word(words, "expect").map(|code| code.parse().expect("a status"));
+        if expect.is_none_or(|code: u16| code < 300) {
+            let facts = Description {
+                cpus: number(words, "cpus", 1.0),
+                gpus: number(words, "gpus", 0.0),
+                memory_gb: number(words, "memory", 1.0),
+                image: word(words, "image").unwrap_or("img-1").into(),
+                size_gb: number(words, "size", 0.1),
+                gang: shape == "gang",
+                tasks: number(words, "tasks", 1.0) as u32,
+                checkpoint: number(words, "checkpoint", 0.0) > 0.0,
+                save_ms: (number(words, "save", 1.0) * 1000.0) as u64,
+                work: Work::Takes {
+                    run_ms,
+                    fails: flag("fails"),
+                    gives: word(words, "gives").map(|n| n.parse().expect("gives")),
+                },
+                inputs: BTreeMap::new(),
+                map: None,
+            };
+            self.jobs.insert(id.clone(), facts);
+            self.specs.insert(id.clone(), spec.clone());
+        }
+        (id, spec, expect)
+    }
+
+    fn poll(&mut self, id: &str) {
+        let job = JobId::parse(id).expect("a job");
+        self.ask(UserRequest::Poll { id: job }, id, None, false);
+    }
+}
