--- a/src/bookkeeping/graph_records.rs
+++ b/src/bookkeeping/graph_records.rs
@@ -45,6 +45,9 @@
     /// Of a run that has ended: did it go well?
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub well: Option<bool>,
+    /// It has ended and is being forgotten.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub gone: bool,
     /// Parts that do nodes over: the first, and how many.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub redos: Vec<(u32, u32)>,
--- a/src/bookkeeping/graphs.rs
+++ b/src/bookkeeping/graphs.rs
@@ -240,6 +240,7 @@
         let ix = self.graphs.entry(name);
         let Some(run) = self.graphs.run_mut(ix) else { return };
         let redone = run.turn.redos.len() < turn.redos.len();
+        run.fading |= turn.gone;
         run.turn = turn;
         if run.flow.is_none() || redone {
             self.assemble(ix);
--- a/src/coordination/graphs.rs
+++ b/src/coordination/graphs.rs
@@ -360,6 +360,9 @@
     if run.turn.redos.contains(&(redo.from, redo.parts)) {
         return Decision::Answer(Answer::json(200, &run_row(run)));
     }
+    if run.fading {
+        return refuse(404, "the run is being forgotten");
+    }
     if run.turn.cancelled && !run.ended() {
         return Decision::Answer(Answer::later("the run is being cancelled", COME_BACK_S));
     }
--- a/src/coordination/leader/records/flows.rs
+++ b/src/coordination/leader/records/flows.rs
@@ -57,10 +57,14 @@
         }
     }
 
-    /// Parts first, then the turn, the header last: what is left says that it is being forgotten.
+    /// First the turn says so, so that nobody does nodes over whose parts go; then parts, turn and last the header.
     fn plan_forgetting(&mut self, batch: &mut Batch<'_>) {
         let mirror = batch.mirror;
         for run in self.flows.fading.iter().filter_map(|ix| mirror.graphs.run(*ix)) {
+            if run.flow.is_some() && !run.turn.gone {
+                add_turn(run, &TurnRecord { gone: true, ..run.turn.clone() }, batch);
+                continue;
+            }
             let parts = run.parts.iter().map(|part| Key::Part(run.name.clone(), *part));
             let rest = [Key::Turn(run.name.clone()), Key::Graph(run.name.clone())];
             for key in parts.chain(rest) {
@@ -76,8 +80,10 @@
 }
 
 fn add_turn(run: &Run, turn: &TurnRecord, batch: &mut Batch<'_>) {
-    if !batch.full() {
-        batch.add(&Key::Turn(run.name.clone()), json(turn), Effect::Other);
+    let key = Key::Turn(run.name.clone());
+    // Changed twice by one transaction, followers would take the first for true.
+    if !batch.full() && !batch.has(&key) {
+        batch.add(&key, json(turn), Effect::Other);
     }
 }
 
--- a/src/coordination/leader/records/writer.rs
+++ b/src/coordination/leader/records/writer.rs
@@ -357,8 +357,11 @@
             }
             Effect::Stopped(id, ix) => {
                 self.writer.ends.remove(&id);
-                self.history.told_elsewhere(id, None);
-                self.withdraw(id, ix, clock.wall_ms, clock);
+                // What never was ready is nowhere: no machine has to be looked at.
+                if ix.is_some() || self.bound.contains_key(&id) {
+                    self.history.told_elsewhere(id, None);
+                    self.withdraw(id, ix, clock.wall_ms, clock);
+                }
             }
             Effect::Tried(..) => {}
             Effect::Other => {}
