latch graph list: columns stand under their heads

Cause: colour codes were counted as width. Seen when trying the example as a new user; laid out first, coloured after, as the list of jobs does.

--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -54,27 +54,38 @@
     at_ms.map_or("?".into(), |at| format!("{} ago", span(now_ms().saturating_sub(at))))
 }
 
+fn run_colour(state: RunState) -> AnsiColor {
+    match state {
+        RunState::Success => AnsiColor::Green,
+        RunState::Failed | RunState::Cancelled => AnsiColor::Red,
+        RunState::Running => AnsiColor::Cyan,
+        RunState::Waiting | RunState::Cancelling => AnsiColor::Yellow,
+    }
+}
+
 pub fn runs(rows: &[RunRow]) -> String {
     let mut table = table(&["RUN", "GRAPH", "STATE", "NODES", "OF THEM", "ACCEPTED"]);
     for row in rows {
         let states: Vec<String> =
             row.states.iter().map(|(state, count)| format!("{count} {state}")).collect();
-        let colour = match row.state {
-            RunState::Success => AnsiColor::Green,
-            RunState::Failed | RunState::Cancelled => AnsiColor::Red,
-            RunState::Running => AnsiColor::Cyan,
-            RunState::Waiting | RunState::Cancelling => AnsiColor::Yellow,
-        };
-        table.add_row([
-            row.run.clone(),
-            row.graph.clone(),
-            paint(row.state.word(), colour),
-            row.nodes.to_string(),
-            states.join(", "),
-            ago(Some(row.accepted_ms)),
+        table.add_row(vec![
+            Cell::new(&row.run),
+            Cell::new(&row.graph),
+            Cell::new(row.state.word()),
+            Cell::new(row.nodes).set_alignment(CellAlignment::Right),
+            Cell::new(states.join(", ")),
+            Cell::new(ago(Some(row.accepted_ms))),
         ]);
     }
-    table.to_string()
+    // As with jobs, colours take no room: they are put in where a row's state stands.
+    let text = table.to_string();
+    let (head, lines) = text.split_once('\n').unwrap_or((&text, ""));
+    let paint_row = |(line, row): (&str, &RunRow)| {
+        let word = format!(" {} ", row.state.word());
+        line.replacen(&word, &format!(" {} ", paint(row.state.word(), run_colour(row.state))), 1)
+    };
+    let painted: Vec<String> = lines.lines().zip(rows).map(paint_row).collect();
+    std::iter::once(head.to_string()).chain(painted).collect::<Vec<_>>().join("\n")
 }
 
 pub fn jobs(rows: &[JobRow]) -> String {
