One piece for what graphs wrote a second time; less looked at on hot paths

Cause: a rereading of the change. Finding the line of a mistake stood in three files, the edges of a shown run in two, dropping a job's queued tasks, the tasks running of a list, a node's pool and the writer's JSON in two each. Every job that joins a dedicated queue copied the set of its image's holders; every end of a node went through all waiting runs of its graph; once a second the leader looked at all nodes of all ended runs; a waiting upload was copied at each step.

Change: src/places.rs, Leader::drop_queued, Node::running_of_all, JobInfo::pool and shape_of serve both places; holders are chained, waiting runs removed by their key, only runs about to be forgotten are looked at node by node, uploads are decided where they are. Behaviour stays; no test was loosened.

--- a/crates/client/src/contexts.rs
+++ b/crates/client/src/contexts.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use olivelatch::places::one_line;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -72,10 +73,6 @@
     }
 }
 
-pub(crate) fn one_line(text: &str) -> String {
-    text.split_whitespace().collect::<Vec<_>>().join(" ")
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/client/src/jobs.rs
+++ b/crates/client/src/jobs.rs
@@ -4,14 +4,13 @@
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use olivelatch::places::locate;
 use olivelatch::protocol::users::{JobSpec, Shape, Urgency, read_submission};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use thiserror::Error;
 
-use crate::contexts::one_line;
-
 #[derive(Debug, Error)]
 pub enum JobFileError {
     #[error("{file}: {error}")]
@@ -193,7 +192,7 @@
         let read: Result<Form, String> = if json {
             serde_json::from_str(text).map_err(|error| error.to_string())
         } else {
-            hcl::from_str(text).map_err(|error| with_line(text, &one_line(&error.to_string())))
+            hcl::from_str(text).map_err(|error| locate(text, &error.to_string()))
         };
         let form = read.map_err(|problem| JobFileError::Form { file: file.into(), problem })?;
         if form.job.is_empty() {
@@ -212,17 +211,6 @@
     }
 }
 
-/// An unknown word is reported without its place; people want the line.
-fn with_line(text: &str, problem: &str) -> String {
-    let Some(word) = problem.split('`').nth(1) else { return problem.into() };
-    let begins =
-        |line: &str| line.trim_start().split(|c: char| !c.is_alphanumeric() && c != '_').next() == Some(word);
-    match text.lines().position(begins) {
-        Some(at) => format!("line {}: {problem}", at + 1),
-        None => problem.into(),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/flow/src/file.rs
+++ b/crates/flow/src/file.rs
@@ -5,6 +5,7 @@
 
 use hcl::structure::{Block, Body};
 use minijinja::{Environment, UndefinedBehavior};
+use olivelatch::places::{line_of, named, one_line};
 use olivelatch::protocol::graphs::RunName;
 use olivelatch_client::JobEntry;
 use olivelatch_graph::{Rule, Shape, ShapeError};
@@ -101,13 +102,9 @@
         lines.map(|(at, _)| at + 1).nth(nth).unwrap_or(1)
     }
 
-    /// The line within a block that begins with a word.
+    /// The line within a block that begins with a word; the block's own if there is none.
     fn line_of(&self, from: usize, word: &str) -> usize {
-        let begins = |line: &str| {
-            line.trim_start().split(|c: char| !c.is_alphanumeric() && c != '_').next() == Some(word)
-        };
-        let lines = self.text.lines().enumerate().skip(from.saturating_sub(1));
-        lines.filter(|(_, line)| begins(line)).map(|(at, _)| at + 1).next().unwrap_or(from)
+        line_of(self.text, from, word).unwrap_or(from)
     }
 
     fn node(&self, line: usize, node: &str, problem: impl ToString) -> FlowFileError {
@@ -164,7 +161,7 @@
         given: &BTreeMap<String, String>,
     ) -> Result<FlowFile, FlowFileError> {
         let source = Source { file, text };
-        let body = hcl::parse(text).map_err(|error| source.form(first_lines(&error.to_string())))?;
+        let body = hcl::parse(text).map_err(|error| source.form(one_line(&error.to_string())))?;
         let vars = read_vars(&source, &body, given)?;
         let top = read_top(&source, &body, &vars)?;
         let defaults = match body.blocks().find(|block| block.identifier() == "defaults") {
@@ -187,10 +184,6 @@
     }
 }
 
-fn first_lines(text: &str) -> String {
-    text.split_whitespace().collect::<Vec<_>>().join(" ")
-}
-
 fn read_vars(
     source: &Source<'_>,
     body: &Body,
@@ -239,8 +232,8 @@
         .map_err(|problem| source.form(problem))?;
     let top: Top = serde_json::from_value(value).map_err(|error| {
         let problem = error.to_string();
-        let word = problem.split('`').nth(1).unwrap_or("").to_string();
-        source.form(format!("line {}: {problem}", source.line_of(1, &word)))
+        let line = named(&problem).map_or(1, |word| source.line_of(1, word));
+        source.form(format!("line {line}: {problem}"))
     })?;
     if RunName::parse(&top.graph).is_none() {
         return Err(source.form(format!("graph: expected a name like nightly, not {:?}", top.graph)));
@@ -310,8 +303,7 @@
             context.insert("index".into(), json!(index));
         }
         let wrong = |source: &Source<'_>, problem: String| {
-            let word = problem.split('`').nth(1).unwrap_or("").to_string();
-            let at = if word.is_empty() { line } else { source.line_of(line, &word) };
+            let at = named(&problem).map_or(line, |word| source.line_of(line, word));
             source.node(at, &name, problem)
         };
         let filled = fill(&environment(), &Value::Object(all.clone()), &Value::Object(context))
--- a/crates/flow/src/picture.rs
+++ b/crates/flow/src/picture.rs
@@ -5,6 +5,8 @@
 use olivelatch_graph::{NodeIx, Shape};
 use serde::Serialize;
 
+use crate::prepare::shape_of;
+
 /// Nodes drawn in a picture, and listed as text.
 const MOST_DRAWN: usize = 2_000;
 const MOST_LISTED: usize = 200;
@@ -113,12 +115,7 @@
 impl<'a> Picture<'a> {
     /// `detail` holds every node of the run.
     pub fn new(detail: &'a RunDetail) -> Result<Picture<'a>, String> {
-        let mut edges = Vec::new();
-        for (at, node) in detail.nodes.iter().enumerate() {
-            let before = node.after.iter().flat_map(|(first, count)| *first..first.saturating_add(*count));
-            edges.extend(before.map(|up| (up, at as u32)));
-        }
-        let shape = Shape::new(detail.nodes.len() as u32, &edges).map_err(|error| error.to_string())?;
+        let shape = shape_of(&detail.nodes)?;
         let layers = shape.layers();
         let critical = critical_path(&detail.nodes, &shape);
         Ok(Picture { detail, shape, layers, critical })
--- a/crates/flow/src/prepare.rs
+++ b/crates/flow/src/prepare.rs
@@ -129,6 +129,16 @@
     }
 }
 
+/// The edges of a run as it was shown.
+pub(crate) fn shape_of(nodes: &[NodeView]) -> Result<Shape, String> {
+    let mut edges = Vec::new();
+    for (at, node) in nodes.iter().enumerate() {
+        let before = node.after.iter().flat_map(|(first, count)| *first..first.saturating_add(*count));
+        edges.extend(before.map(|up| (up, at as u32)));
+    }
+    Shape::new(nodes.len() as u32, &edges).map_err(|error| error.to_string())
+}
+
 /// Nodes to be done over, with the new names of their jobs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Redo {
@@ -140,12 +150,7 @@
 impl Redo {
     /// The nodes at these positions and all behind them, of a run as it was shown.
     pub fn new(nodes: &[NodeView], from: &[u32]) -> Result<Redo, String> {
-        let mut edges = Vec::new();
-        for (at, node) in nodes.iter().enumerate() {
-            let before = node.after.iter().flat_map(|(first, count)| *first..first.saturating_add(*count));
-            edges.extend(before.map(|up| (up, at as u32)));
-        }
-        let shape = Shape::new(nodes.len() as u32, &edges).map_err(|error| error.to_string())?;
+        let shape = shape_of(nodes)?;
         let all: Vec<u32> =
             shape.closure(from.iter().map(|at| NodeIx(*at))).into_iter().map(|node| node.0).collect();
         let first = new_jobs(all.len());
--- a/crates/region/src/outputs.rs
+++ b/crates/region/src/outputs.rs
@@ -143,7 +143,7 @@
     /// was shown of the node before. Leftovers of other attempts go after that.
     pub fn follow(&self, key: &str, value: &Value, jobs: &Descriptions, results: &Results) -> io::Result<()> {
         let Some(job) = key.strip_prefix("olivelatch/end/") else { return Ok(()) };
-        let Ok(End { node: Some(node) }) = serde_json::from_value::<End>(value.clone()) else {
+        let Ok(End { node: Some(node) }) = End::deserialize(value) else {
             return Ok(());
         };
         // A name that leads elsewhere is shown nowhere.
--- a/src/bookkeeping/graph_records.rs
+++ b/src/bookkeeping/graph_records.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::graphs::{Evidence, GraphHeader, RunName};
+use crate::protocol::users::MOST_TASKS;
 
 /// Tasks whose failures share a record: with three failures of each as evidence it still fits a value.
 pub const TRIES_BLOCK: u32 = 8;
@@ -82,6 +83,11 @@
         let (run, name) = (run.to_string(), name.to_string());
         NodeEnd { run, name, outcome, attempt: None, gave: None, evidence: Vec::new() }
     }
+
+    /// The length of its list, if a job may have so many tasks.
+    pub fn list(&self) -> Option<u32> {
+        self.gave.filter(|gave| *gave <= MOST_TASKS)
+    }
 }
 
 /// Failures of the tasks of a block, by task.
--- a/src/bookkeeping/graphs.rs
+++ b/src/bookkeeping/graphs.rs
@@ -3,16 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use olivelatch_graph::{NodeIx, Outcome, Tries};
+use olivelatch_graph::{NodeIx, Outcome, Rule, Tries};
 
 use super::flow::Flow;
-use super::graph_records::{GraphRecord, NodeEnd, Phase, TriesRecord, TurnRecord};
+use super::graph_records::{GraphRecord, NodeEnd, Phase, TRIES_BLOCK, TriesRecord, TurnRecord};
 use super::jobs::{End, Job, JobInfo, NodeInfo};
 use super::mirror::Mirror;
 use super::records::Key;
 use crate::ids::{JobId, JobIx, Revision, RunIx, seconds};
 use crate::protocol::graphs::{GraphHeader, GraphPart, RunName};
-use crate::protocol::users::MOST_TASKS;
 
 /// Upstream jobs that count for a node's place.
 const MOST_UPSTREAM: usize = 16;
@@ -59,6 +58,11 @@
         self.turn.next_part(self.accepted.as_ref().map_or(0, |(_, header, _)| header.parts))
     }
 
+    /// The graph among whose runs it is, and its place there.
+    fn lane(&self) -> Option<(String, Revision)> {
+        self.accepted.as_ref().map(|(_, header, seq)| (header.graph.clone(), *seq))
+    }
+
     /// Has the leader something to write for it?
     pub fn wants_writing(&self) -> bool {
         let Some(flow) = self.flow.as_ref().filter(|_| !self.fading) else { return false };
@@ -196,13 +200,13 @@
     fn refile(&mut self, ix: RunIx) {
         let Some(run) = self.run(ix) else { return };
         let wants = run.wants_writing();
-        if let Some((_, header, seq)) = run.accepted.clone() {
-            let phase = run.turn.phase;
-            let there = run.flow.is_some() && !run.fading;
-            let waits = there && phase == Phase::Waiting && !run.turn.cancelled;
-            let lane = self.lanes.entry(header.graph).or_default();
+        let there = run.flow.is_some() && !run.fading;
+        let (phase, waits) =
+            (run.turn.phase, there && !run.turn.cancelled && run.turn.phase == Phase::Waiting);
+        if let Some((graph, seq)) = run.lane() {
+            let lane = self.lanes.entry(graph).or_default();
             lane.active.remove(&ix);
-            lane.waiting.retain(|(_, other)| *other != ix);
+            lane.waiting.remove(&(seq, ix));
             if waits {
                 lane.waiting.insert((seq, ix));
             } else if there && phase == Phase::Active {
@@ -333,14 +337,14 @@
         let jobs: Vec<JobId> = flow.nodes.iter().map(|node| node.job).collect();
         for (at, job) in jobs.iter().copied().enumerate() {
             let ended = match self.graphs.ends.get(&job) {
-                Some(end) => Some((end.outcome, end.gave)),
+                Some(end) => Some((end.outcome, end.list())),
                 None if self.taken(job) => Some((Outcome::Failed, None)),
                 None => None,
             };
-            if let Some((outcome, gave)) = ended
+            if let Some((outcome, list)) = ended
                 && let Some(flow) = self.graphs.run_mut(ix).and_then(|run| run.flow.as_mut())
             {
-                flow.progress.ended(NodeIx(at as u32), outcome, gave.filter(|gave| *gave <= MOST_TASKS));
+                flow.progress.ended(NodeIx(at as u32), outcome, list);
             }
         }
         self.keep_stopped(ix, &jobs);
@@ -390,7 +394,7 @@
             None => self.graphs.cancelled_end(job).filter(|_| end == End::Withdrawn),
         };
         let Some(told) = told else { return };
-        let (outcome, gave) = (told.outcome, told.gave.filter(|gave| *gave <= MOST_TASKS));
+        let (outcome, list) = (told.outcome, told.list());
         self.graphs.ends.insert(job, Box::new(told));
         if let Some((ix, _)) = self.graphs.old.get(&job).copied() {
             if let Some(run) = self.graphs.run_mut(ix) {
@@ -402,7 +406,7 @@
         let Some(run) = self.graphs.run_mut(ix) else { return };
         let cancelled = run.turn.cancelled;
         let Some(flow) = &mut run.flow else { return };
-        let changes = flow.progress.ended(node, outcome, gave);
+        let changes = flow.progress.ended(node, outcome, list);
         if !cancelled {
             changes.ready.into_iter().for_each(|next| self.derive(ix, next));
         }
@@ -457,7 +461,6 @@
     /// The time of day at which a node became ready, by the records alone: of its run's turn, or of the last end that its
     /// rule waited for.
     fn ready_at(&self, run: &Run, flow: &Flow, node: NodeIx) -> u64 {
-        use olivelatch_graph::Rule;
         let rule = flow.progress.rule(node);
         let first_of = match rule {
             Rule::OneSuccess => Some(false),
@@ -490,7 +493,6 @@
     }
 
     pub(super) fn drop_tries(&mut self, job: JobId, block: u32) {
-        use super::graph_records::TRIES_BLOCK;
         if let Some(tries) = self.graphs.tries.get_mut(&job) {
             tries.retain(|task, _| task / TRIES_BLOCK != block);
             if tries.is_empty() {
@@ -532,11 +534,15 @@
         let Some(mut run) = self.graphs.runs.get_mut(ix.at()).and_then(Option::take) else { return };
         self.graphs.index.remove(&run.name);
         self.graphs.dirty.remove(&ix);
-        for lane in self.graphs.lanes.values_mut() {
+        if let Some((graph, seq)) = run.lane()
+            && let Some(lane) = self.graphs.lanes.get_mut(&graph)
+        {
             lane.active.remove(&ix);
-            lane.waiting.retain(|(_, other)| *other != ix);
+            lane.waiting.remove(&(seq, ix));
+            if lane.active.is_empty() && lane.waiting.is_empty() {
+                self.graphs.lanes.remove(&graph);
+            }
         }
-        self.graphs.lanes.retain(|_, lane| !lane.active.is_empty() || !lane.waiting.is_empty());
         let nodes = run.flow.take().map_or(Vec::new(), |flow| flow.nodes);
         self.graphs.nodes -= nodes.len();
         let mut jobs: Vec<JobId> = nodes.into_iter().map(|node| node.job).collect();
--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -129,6 +129,11 @@
         self.allows_kind(kind) && self.zone.is_none_or(|only| only == zone) && (!spot || self.spot)
     }
 
+    /// The pool whose slots its tasks take.
+    pub fn pool(&self) -> Option<PoolIx> {
+        self.node.as_ref()?.pool
+    }
+
     /// Gangs and services are placed all or nothing.
     pub fn together(&self) -> bool {
         self.shape != Shape::Array
--- a/src/coordination/graphs.rs
+++ b/src/coordination/graphs.rs
@@ -33,7 +33,7 @@
 /// Changes of one transaction stay below its 64 KiB.
 const LARGEST_TXN: usize = 40 * 1024;
 
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Waiting {
     call: CallId,
     request: GraphRequest,
@@ -106,19 +106,17 @@
         let fresh = ledger.fresh.unwrap_or_default();
         while self.writing.is_none()
             && let Some(at) = self.waiting.iter().position(|waiting| waiting.arrived <= fresh)
-            && let Some(waiting) = self.waiting.get(at).cloned()
         {
-            match decide(&waiting.request, ground, ledger.writes.available(ground.clock.now)) {
+            match decide(&self.waiting[at].request, ground, ledger.writes.available(ground.clock.now)) {
                 Some(Decision::Answer(answer)) => {
-                    self.waiting.remove(at);
-                    out.push(Output::Answer { call: waiting.call, answer });
+                    let call = self.waiting.remove(at).map(|waiting| waiting.call);
+                    out.extend(call.map(|call| Output::Answer { call, answer }));
                 }
                 Some(Decision::Write { guards, changes, then }) => {
                     if ledger.txn(ground.clock, Purpose::GraphTxn, guards, changes, out).is_none() {
                         return;
                     }
-                    self.waiting.remove(at);
-                    self.writing = Some(Writing { waiting, then });
+                    self.writing = self.waiting.remove(at).map(|waiting| Writing { waiting, then });
                 }
                 // The limits of the state service: later.
                 None => return,
--- a/src/coordination/leader/explain.rs
+++ b/src/coordination/leader/explain.rs
@@ -210,7 +210,7 @@
     }
 
     fn pool_full(&self, work: &Work, tasks: u32, names: &Registry) -> Option<Reason> {
-        let pool = work.info.node.as_ref()?.pool.filter(|_| !self.within_pool(work, tasks))?;
+        let pool = work.info.pool().filter(|_| !self.within_pool(work, tasks))?;
         Some(Reason::PoolFull {
             pool: names.pools.name_at(pool.at()).into(),
             used: self.flows.used.get(&pool).copied().unwrap_or(0),
--- a/src/coordination/leader/flows.rs
+++ b/src/coordination/leader/flows.rs
@@ -76,7 +76,7 @@
 
     /// Has the node's pool room for so many more tasks?
     pub fn within_pool(&self, work: &Work, tasks: u32) -> bool {
-        let Some(pool) = work.info.node.as_ref().and_then(|node| node.pool) else { return true };
+        let Some(pool) = work.info.pool() else { return true };
         let used = self.flows.used.get(&pool).copied().unwrap_or(0);
         self.flows.slots.get(&pool).is_none_or(|slots| used + tasks <= *slots)
     }
@@ -229,7 +229,7 @@
                 loose.insert(ix);
             } else if run.fading || run.swept {
                 self.flows.fading.insert(ix);
-            } else if run.ended() && run.replaced.is_empty() && !self.bound_run(run) {
+            } else if run.ended() && run.replaced.is_empty() {
                 ended.push((run.turn.at, ix));
             }
         }
@@ -237,7 +237,10 @@
         let kept = tunables.kept_runs as usize;
         let crowded = mirror.graphs.nodes as f64 > tunables.most_nodes * 0.8;
         let surplus = ended.len().saturating_sub(kept).max(usize::from(crowded && !ended.is_empty()));
-        self.flows.fading.extend(ended.iter().take(surplus).map(|(_, ix)| *ix));
+        // Only those few are looked at node by node.
+        let free = |ix: &RunIx| mirror.graphs.run(*ix).is_some_and(|run| !self.bound_run(run));
+        let fading: Vec<RunIx> = ended.iter().take(surplus).map(|(_, ix)| *ix).filter(free).collect();
+        self.flows.fading.extend(fading);
         self.flows.fading.retain(|ix| mirror.graphs.run(*ix).is_some());
         let sweep_ms = (tunables.sweep_s * 1000.0) as u64;
         self.flows.loose.retain(|ix, _| loose.contains(ix));
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -422,17 +422,6 @@
         mirror.end_of(piece.task.job).is_none() && covers(node.tries.get(&task)) && !covers(told)
     }
 
-    /// A job that ended while tasks of its were queued: none of them starts any more.
-    fn unqueue(&mut self, ix: JobIx) {
-        if self.work.get(&ix).is_some_and(|work| work.done.full()) {
-            self.backlog.drop_job(ix);
-            for machine in &mut self.machines {
-                machine.shared.drop_job(ix);
-                machine.dedicated.drop_job(ix);
-            }
-        }
-    }
-
     /// A `done` of a task that an earlier leader had started and taken off its record.
     pub fn adopt_done(&mut self, mirror: &Mirror, report: &Report, clock: Clock) {
         for piece in &report.pieces {
@@ -453,7 +442,9 @@
                 self.node_done(machine, ix, piece);
             }
             self.task_done(ix, piece.task, clock);
-            self.unqueue(ix);
+            if self.work.get(&ix).is_some_and(|work| work.done.full()) {
+                self.drop_queued(ix);
+            }
         }
     }
 }
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -116,10 +116,11 @@
     }
 
     fn image_holders(&self, work: &Work) -> Vec<MachineIx> {
-        let mut holders = self.holders.get(&work.info.image).cloned().unwrap_or_default();
-        holders.extend(self.homes_of(work));
-        holders.retain(|ix| self.roster.takes(*ix) && self.suits(*ix, work));
-        holders.into_iter().collect()
+        let holders = self.holders.get(&work.info.image);
+        let homes = self.homes_of(work);
+        let beside = homes.iter().filter(|ix| holders.is_none_or(|holders| !holders.contains(ix)));
+        let able = |ix: &&MachineIx| self.roster.takes(**ix) && self.suits(**ix, work);
+        holders.into_iter().flatten().chain(beside).filter(able).copied().collect()
     }
 
     /// Each task joins the dedicated queue that is the shortest then.
@@ -370,7 +371,7 @@
             attempt,
             need: info.need,
             team: Some(info.team),
-            pool: info.node.as_ref().and_then(|node| node.pool),
+            pool: info.pool(),
             over_limit: false,
             run: Run::Planned,
             part: None,
--- a/src/coordination/leader/records/flows.rs
+++ b/src/coordination/leader/records/flows.rs
@@ -2,7 +2,7 @@
 
 use olivelatch_graph::{NodeIx, Outcome};
 
-use super::writer::{Batch, Effect};
+use super::writer::{Batch, Effect, json};
 use crate::bookkeeping::graph_records::{GraphRecord, NodeEnd, Phase, TRIES_BLOCK, TriesRecord, TurnRecord};
 use crate::bookkeeping::graphs::Run;
 use crate::bookkeeping::records::{EndRecord, Key};
@@ -10,10 +10,6 @@
 use crate::coordination::leader::Leader;
 use crate::ids::JobId;
 
-fn json(value: &impl serde::Serialize) -> Option<String> {
-    serde_json::to_string(value).ok()
-}
-
 impl Leader {
     /// Failures of tasks: before anything that makes a new leader forget the attempts they were of.
     pub(super) fn plan_tries(&mut self, batch: &mut Batch<'_>) {
--- a/src/coordination/leader/records/inherit.rs
+++ b/src/coordination/leader/records/inherit.rs
@@ -95,7 +95,7 @@
             attempt,
             need: info.map(|job| job.info.need).unwrap_or_default(),
             team: info.map(|job| job.info.team),
-            pool: info.and_then(|job| job.info.node.as_ref()?.pool),
+            pool: info.and_then(|job| job.info.pool()),
             over_limit: false,
             run: Run::Inherited,
             part: Some(part),
--- a/src/coordination/leader/records/writer.rs
+++ b/src/coordination/leader/records/writer.rs
@@ -130,7 +130,7 @@
     tries.keys().map(|task| task / TRIES_BLOCK).collect()
 }
 
-fn json(value: &impl serde::Serialize) -> Option<String> {
+pub(super) fn json(value: &impl serde::Serialize) -> Option<String> {
     serde_json::to_string(value).ok()
 }
 
--- a/src/coordination/leader/withdraw.rs
+++ b/src/coordination/leader/withdraw.rs
@@ -17,17 +17,22 @@
         clock.now.plus(spare.saturating_sub(passed))
     }
 
+    /// None of the job's queued tasks starts any more.
+    pub fn drop_queued(&mut self, ix: JobIx) {
+        self.backlog.drop_job(ix);
+        for machine in &mut self.machines {
+            machine.shared.drop_job(ix);
+            machine.dedicated.drop_job(ix);
+        }
+    }
+
     /// The user has withdrawn the job: nothing of it starts any more, everything stops.
     pub fn withdraw(&mut self, id: JobId, ix: Option<JobIx>, told_wall_ms: u64, clock: Clock) {
         if let Some(ix) = ix
             && let Some(work) = self.work.remove(&ix)
         {
             self.gangs.remove(&work.rank);
-            self.backlog.drop_job(ix);
-            for machine in &mut self.machines {
-                machine.shared.drop_job(ix);
-                machine.dedicated.drop_job(ix);
-            }
+            self.drop_queued(ix);
             self.drop_holds(ix);
         }
         self.journal.note(id, EventWord::Withdrawn, None, 0, 0);
--- a/src/coordination/node/graphs.rs
+++ b/src/coordination/node/graphs.rs
@@ -59,12 +59,7 @@
         let Some(run) = self.mirror.graphs.by_name(name).filter(|run| run.flow.is_some()) else {
             return Answer::error(404, "no such run");
         };
-        let recorded =
-            if self.leader.is_some() { Default::default() } else { self.mirror.all_recorded_running() };
-        let running = |id: JobId| match &self.leader {
-            Some(_) => self.running(id),
-            None => recorded.get(&id).copied().unwrap_or(0),
-        };
+        let running = self.running_of_all();
         let mut detail = run_detail(&self.mirror, run, after, limit, LARGEST_PAGE_BYTES, &running);
         detail.node.clone_from(&self.settings.node);
         Answer::json(200, &detail)
--- a/src/coordination/node/operators.rs
+++ b/src/coordination/node/operators.rs
@@ -151,15 +151,7 @@
     fn answer_operator(&self, clock: Clock, request: &OperatorRequest) -> Answer {
         let answer = match request {
             OperatorRequest::List(query) => {
-                let recorded = if self.leader.is_some() {
-                    Default::default()
-                } else {
-                    self.mirror.all_recorded_running()
-                };
-                let running = |id: JobId| match &self.leader {
-                    Some(_) => self.running(id),
-                    None => recorded.get(&id).copied().unwrap_or(0),
-                };
+                let running = self.running_of_all();
                 let (jobs, next) = page(&self.mirror, query, &running);
                 let next = next.map(|id| id.to_string());
                 let revision = self.mirror.revision.0;
@@ -253,6 +245,16 @@
         Answer::json(200, &EventList { node, job: id.to_string(), earlier_unknown, events })
     }
 
+    /// The same for many jobs: without a leader's knowledge, the log is gone through once for all of them.
+    pub(super) fn running_of_all(&self) -> impl Fn(JobId) -> u32 + '_ {
+        let recorded =
+            if self.leader.is_some() { Default::default() } else { self.mirror.all_recorded_running() };
+        move |id| match &self.leader {
+            Some(_) => self.running(id),
+            None => recorded.get(&id).copied().unwrap_or(0),
+        }
+    }
+
     /// How many tasks of a job run, for display.
     pub(super) fn running(&self, id: JobId) -> u32 {
         match self.leader.as_ref().zip(self.mirror.find(id)) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod coordination;
 pub mod ids;
 pub mod logging;
+pub mod places;
 pub mod protocol;
 pub mod settings;
 pub mod transport;
--- a/src/tunables.rs
+++ b/src/tunables.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+use crate::places::locate;
+
 #[derive(Debug, Error)]
 pub enum TunablesError {
     #[error("{file}: {error}")]
@@ -190,18 +192,3 @@
         Ok(())
     }
 }
-
-/// An unknown key is reported without its place; the operator wants the line.
-fn locate(text: &str, problem: &str) -> String {
-    let one_line = problem.split_whitespace().collect::<Vec<_>>().join(" ");
-    let Some(name) = one_line.split('`').nth(1) else {
-        return one_line;
-    };
-    let place = text.lines().position(|line| {
-        line.trim_start().split(|c: char| !c.is_alphanumeric() && c != '_').next() == Some(name)
-    });
-    match place {
-        Some(at) => format!("line {}: {one_line}", at + 1),
-        None => one_line,
-    }
-}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -109,6 +109,11 @@
     world
 }
 
+/// Jobs with an end.
+fn ended(world: &World) -> usize {
+    world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count()
+}
+
 fn play(world: &mut World, lines: &[&str]) {
     for line in lines {
         let words: Vec<&str> = line.split_whitespace().collect();
@@ -218,7 +223,7 @@
             play(&mut plain, &["advance 0.2"]);
         }
     }
-    while plain.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count() < NODES as usize {
+    while ended(&plain) < NODES as usize {
         plain.step();
     }
     told(&plain, "plain jobs", NODES, began, before);
@@ -231,7 +236,7 @@
         draft(&mut world, "r", 1, &shape);
         let (began, before) = (world.now, (world.written, world.spent.all));
         play(&mut world, &["commit r g"]);
-        while world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count() < nodes as usize {
+        while ended(&world) < nodes as usize {
             world.step();
         }
         told(&world, sort, nodes, began, before);
@@ -256,7 +261,7 @@
         play(&mut world, &[&format!("commit r{run} g{run}"), "advance 1"]);
     }
     play(&mut world, &["until 60 sent", "advance 5"]);
-    let ends = world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count();
+    let ends = ended(&world);
     println!(
         "before: {ends} of 50,000 nodes have ended, {:.1} ms over one event at most",
         world.spent.most.as_micros() as f64 / 1000.0
@@ -271,9 +276,9 @@
         world.spent.most.as_micros() as f64 / 1000.0,
         world.spent.kind,
     );
-    let before = world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count();
+    let before = ended(&world);
     let began = world.now;
-    while world.state.keys().filter(|key| key.starts_with("olivelatch/end/")).count() < before + 500 {
+    while ended(&world) < before + 500 {
         world.step();
     }
     println!("500 further ends after {:.1} s", (world.now - began) as f64 / 1000.0);
