Gangs of one shape share one search, over machines that fit them

Cause: with six times the gangs, nine tenths of the leader's processor time went into place_gangs: each waiting gang looked at every open machine, in each zone, in three ways, every 150 ms, and worked out for each task there whether it might be stopped.

Change: open machines are kept by type and zone, and only types that fit a task are looked at; whom a job may stop is worked out once a search; a search that found nothing speaks for all gangs of the shape until room has grown on those types (at most a second); a gang that holds machines does not look for others to drain.

--- a/src/coordination/leader/machines/roster.rs
+++ b/src/coordination/leader/machines/roster.rs
@@ -1,16 +1,25 @@
 //! Which machines placement has to look at: those where something changed, not all.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-use crate::ids::{MachineIx, Millis};
+use crate::ids::{KindIx, MachineIx, Millis, ZoneIx};
+
+/// Type and zone.
+pub type Sort = (KindIx, ZoneIx);
 
 #[derive(Debug, Default)]
 pub struct Roster {
     /// Machines that may get tasks; those not needed get only gangs.
     open: BTreeSet<MachineIx>,
+    /// The same by type and zone.
+    sorts: BTreeMap<Sort, BTreeSet<MachineIx>>,
+    /// The type of each machine that was ever open.
+    kinds: HashMap<MachineIx, KindIx>,
+    /// How often room has grown on machines of a type: a task left, was told to stop, a machine came or was let go.
+    grown: BTreeMap<KindIx, u64>,
     /// Machines that take queued tasks, in no order, so that one can be drawn.
     takers: Vec<MachineIx>,
     place: HashMap<MachineIx, usize>,
@@ -32,11 +41,15 @@
 const LIMITED_WOKEN: usize = 8;
 
 impl Roster {
-    pub fn set(&mut self, ix: MachineIx, open: bool, parked: bool) {
-        if open {
-            self.open.insert(ix);
-        } else {
+    pub fn set(&mut self, ix: MachineIx, sort: Sort, open: bool, parked: bool) {
+        let machines = self.sorts.entry(sort).or_default();
+        self.kinds.insert(ix, sort.0);
+        if !open {
             self.open.remove(&ix);
+            machines.remove(&ix);
+        } else if self.open.insert(ix) {
+            machines.insert(ix);
+            self.grew(ix);
         }
         let takes = open && !parked;
         match (self.place.get(&ix).copied(), takes) {
@@ -64,6 +77,24 @@
         &self.open
     }
 
+    /// Open machines of the types and zones that are of use.
+    pub fn open_in(&self, of_use: impl Fn(KindIx, ZoneIx) -> bool) -> impl Iterator<Item = MachineIx> {
+        let sorts = self.sorts.iter().filter(move |((kind, zone), _)| of_use(*kind, *zone));
+        sorts.flat_map(|(_, machines)| machines.iter().copied())
+    }
+
+    /// There is more room on the machine than before, or soon will be.
+    pub fn grew(&mut self, ix: MachineIx) {
+        if let Some(kind) = self.kinds.get(&ix) {
+            *self.grown.entry(*kind).or_default() += 1;
+        }
+    }
+
+    /// How often room has grown on machines of the types that are of use.
+    pub fn grown(&self, of_use: impl Fn(KindIx) -> bool) -> u64 {
+        self.grown.iter().filter(|(kind, _)| of_use(**kind)).map(|(_, count)| count).sum()
+    }
+
     pub fn takes(&self, ix: MachineIx) -> bool {
         self.place.contains_key(&ix)
     }
@@ -87,6 +118,7 @@
 
     /// A machine has more room, or something new in its queues.
     pub fn room(&mut self, ix: MachineIx) {
+        self.grew(ix);
         if self.takes(ix) {
             self.to_fill.insert(ix);
         }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -35,6 +35,7 @@
 use placement::gangs;
 use placement::policy::Rank;
 use placement::queues::Queue;
+use placement::search::Searched;
 use records::history::{History, PartId};
 use records::writer::Writer;
 
@@ -274,6 +275,8 @@
     /// Machines that should have an image.
     holders: HashMap<ImageIx, BTreeSet<MachineIx>>,
     status_next: Millis,
+    /// Gangs that need not be searched for again yet.
+    searched: Searched,
     /// Waiting gangs are not tried before.
     gangs_next: Millis,
     /// Machines that should hear from us without waiting for their report.
@@ -331,6 +334,7 @@
             roster: Roster::default(),
             holders: HashMap::new(),
             status_next: Millis::default(),
+            searched: Searched::default(),
             gangs_next: Millis::default(),
             to_tell: BTreeSet::new(),
         };
@@ -550,7 +554,7 @@
     /// Something changed that decides whether the machine takes queued tasks.
     pub fn refresh(&mut self, ix: MachineIx) {
         let machine = &self.machines[ix.at()];
-        self.roster.set(ix, machine.open(), machine.parked);
+        self.roster.set(ix, (machine.kind, machine.zone), machine.open(), machine.parked);
     }
 
     /// It stops working, or never started: it is returned.
--- a/src/coordination/leader/placement/gangs.rs
+++ b/src/coordination/leader/placement/gangs.rs
@@ -1,17 +1,14 @@
 //! Gangs and services: placed first, all or nothing; room is made by urgency.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashSet};
 
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::policy::Rank;
 use crate::coordination::leader::{Binding, Leader, Run, Work};
-use crate::ids::{Amount, JobIx, MachineIx, Millis, ZoneIx};
+use crate::ids::{Amount, JobIx, MachineIx, Millis};
 use crate::protocol::operators::EventWord;
 use crate::protocol::users::Shape;
 
-/// Machines for all tasks, and what the dearest of them costs in milliseconds.
-type Slots = (u64, Vec<MachineIx>);
-
 /// How a machine gets room for a gang.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Way {
@@ -30,18 +27,13 @@
     pub way: Way,
 }
 
-/// A team waits so long for room before it claims back what it has lent.
-const CLAIM_MS: u64 = 2_000;
-/// About what a gang takes to be placed, fetch and gather once more.
-const AGAIN_MS: u64 = 10_000;
-/// Until a halt has reached a worker and its effect is known.
-const HALT_MS: u64 = 500;
 /// Added to the grace of a halt, so that a save has time to end.
 const GRACE_MS: u64 = 2000;
 
 impl Leader {
     pub fn place_gangs(&mut self, clock: Clock) {
         let ranks: Vec<Rank> = self.gangs.iter().copied().collect();
+        let holders: HashSet<JobIx> = self.held.iter().filter_map(|ix| self.holder(*ix)).collect();
         for rank in ranks {
             let Some(work) = self.work.get(&rank.job) else {
                 self.gangs.remove(&rank);
@@ -59,184 +51,49 @@
             if old || !pool || !self.within_quota(work.info.team, &all) {
                 continue;
             }
-            // Room that is free may be dearer than room to be made: an image has to be fetched.
-            let free = self.slots(rank.job, tasks.len(), Way::Free, clock);
-            // Waiting for others' ends is for those that may stop nobody.
-            let halted = self.slots(rank.job, tasks.len(), Way::Halt, clock);
-            match (free, halted) {
-                (Some((now, machines)), halted) if halted.as_ref().is_none_or(|(later, _)| now <= *later) => {
-                    self.start_gang(rank, &tasks, &machines);
-                }
-                (_, Some((_, machines))) => self.make_room(rank, &machines, Way::Halt, clock),
-                (_, None) => {
-                    if let Some((_, machines)) = self.slots(rank.job, tasks.len(), Way::Drain, clock) {
-                        self.make_room(rank, &machines, Way::Drain, clock);
-                    }
-                }
-            }
-        }
-    }
-
-    fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[MachineIx]) {
-        let attempt = self.next_attempt();
-        for (task, ix) in tasks.iter().zip(machines) {
-            self.bind(*ix, rank.job, *task, attempt);
-        }
-        self.drop_holds(rank.job);
-        self.gangs.remove(&rank);
-    }
-
-    /// A machine for each of `count` tasks, or None; room that can be made this way counts too.
-    fn slots(&self, job: JobIx, count: usize, way: Way, clock: Clock) -> Option<Slots> {
-        let work = self.work.get(&job)?;
-        let here = |zone| self.reach(job, work, count, zone, way, clock);
-        let all = self.gang_zones(work).into_iter().map(here).filter(|(_, machines)| machines.len() == count);
-        all.min_by_key(|(cost, _)| *cost)
-    }
-
-    /// The zones to be tried one by one; None is all of them together.
-    pub fn gang_zones(&self, work: &Work) -> Vec<Option<ZoneIx>> {
-        if !work.info.one_zone {
-            return vec![None];
-        }
-        let mut zones: Vec<ZoneIx> = self.kinds.values().flat_map(|kind| kind.zones.clone()).collect();
-        zones.sort();
-        zones.dedup();
-        zones.into_iter().map(Some).collect()
-    }
-
-    /// Machines for as many of `count` tasks as there is room for.
-    pub fn reach(
-        &self,
-        job: JobIx,
-        work: &Work,
-        count: usize,
-        zone: Option<ZoneIx>,
-        way: Way,
-        clock: Clock,
-    ) -> Slots {
-        let mut candidates: Vec<(u64, u64, MachineIx)> = Vec::new();
-        for ix in self.roster.open() {
-            let ix = *ix;
-            let machine = &self.machines[ix.at()];
-            // Whoever may stop tasks need not wait for a machine that is only being drained.
-            let held = machine
-                .held_for
-                .is_some_and(|hold| hold.job != job && !(way == Way::Halt && hold.way == Way::Drain));
-            let here = zone.is_none_or(|zone| zone == machine.zone);
-            if held || !here || !self.suits(ix, work) || !self.zone_allows(ix, work) {
+            let holds = holders.contains(&rank.job);
+            if !holds && self.searched.in_vain(work, tasks.len(), self.room_grown(work), clock.now) {
                 continue;
             }
-            let (room, cost) = match way {
-                Way::Free => (machine.free(), 0),
-                Way::Halt => self.room_after_halts(ix, work, clock),
-                Way::Drain => self.room_after_ends(ix, work, clock),
-            };
-            let slots = work.info.need.count_in(&room).min(self.most_tasks as u64);
-            if slots > 0 {
-                candidates.push((cost + self.fetch_ms(ix, work), slots, ix));
-            }
-        }
-        candidates.sort();
-        let cap = if work.info.spread { work.info.tasks.div_ceil(2) } else { u32::MAX };
-        let mut in_zone: HashMap<ZoneIx, u32> = work.zones.clone();
-        let mut chosen = Vec::new();
-        let mut delay = 0;
-        for (cost, slots, ix) in candidates {
-            let used = in_zone.entry(self.machines[ix.at()].zone).or_default();
-            let take = slots.min(u64::from(cap.saturating_sub(*used))).min((count - chosen.len()) as u64);
-            *used += take as u32;
-            if take > 0 {
-                delay = delay.max(cost);
-            }
-            chosen.extend(std::iter::repeat_n(ix, take as usize));
+            self.place_gang(rank, &tasks, holds, clock);
         }
-        (delay, chosen)
     }
 
-    fn fetch_ms(&self, ix: MachineIx, work: &Work) -> u64 {
-        let machine = &self.machines[ix.at()];
-        if machine.has_image(work.info.image) {
-            return 0;
-        }
-        let rate = self.kinds.get(&machine.kind).map_or(100.0, |kind| kind.fetch_mb_per_s);
-        (work.info.image_mb as f64 / rate.max(1.0) * 1000.0) as u64
+    fn holder(&self, ix: MachineIx) -> Option<JobIx> {
+        self.machines[ix.at()].held_for.map(|hold| hold.job)
     }
 
-    /// Room for one task once enough of the machine's tasks have run to their ends, and how
-    /// long that takes; none if it is longer than a machine may be held.
-    fn room_after_ends(&self, ix: MachineIx, work: &Work, clock: Clock) -> (Amount, u64) {
-        let machine = &self.machines[ix.at()];
-        let mut room = machine.free();
-        let left = |binding: &Binding| self.left_cpu_ms(binding, clock) * 1000 / binding.need.cpu.max(1);
-        let mut ends: Vec<(u64, Amount)> = machine.bindings.iter().map(|b| (left(b), b.need)).collect();
-        ends.sort_by_key(|(ms, _)| *ms);
-        let mut wait = 0;
-        for (ms, need) in ends {
-            if work.info.need.fits(&room) {
-                break;
-            }
-            room.add(&need);
-            wait = ms;
-        }
-        let held_ms = (self.tunables.hold_s * 1000.0) as u64;
-        if wait <= held_ms { (room, wait) } else { (Amount::default(), wait) }
-    }
-
-    /// Room on a machine once less urgent tasks have stopped, and what that costs in
-    /// milliseconds: the wait for them to save, and the work that is lost.
-    fn room_after_halts(&self, ix: MachineIx, work: &Work, clock: Clock) -> (Amount, u64) {
-        let machine = &self.machines[ix.at()];
-        let mut room = machine.free();
-        let (mut wait, mut lost) = (0, 0);
-        let mut victims: Vec<(u64, u64, Amount)> = Vec::new();
-        for binding in &machine.bindings {
-            if binding.halt.is_some() {
-                room.add(&binding.need);
-                wait = wait.max(HALT_MS);
-            } else if let Some((save, loss)) = self.loss(binding, work, clock) {
-                victims.push((loss, save, binding.need));
+    fn place_gang(&mut self, rank: Rank, tasks: &[u32], holds: bool, clock: Clock) {
+        let count = tasks.len();
+        // Room that is free may be dearer than room to be made: an image has to be fetched.
+        let free = self.slots(rank.job, count, Way::Free, clock);
+        // Waiting for others' ends is for those that may stop nobody.
+        let halted = self.slots(rank.job, count, Way::Halt, clock);
+        match (free, halted) {
+            (Some((now, machines)), halted) if halted.as_ref().is_none_or(|(later, _)| now <= *later) => {
+                self.start_gang(rank, tasks, &machines);
             }
+            (_, Some((_, machines))) => self.make_room(rank, &machines, Way::Halt, clock),
+            // Who holds machines already waits for their room, not for still others.
+            (_, None) if holds => {}
+            (_, None) => match self.slots(rank.job, count, Way::Drain, clock) {
+                Some((_, machines)) => self.make_room(rank, &machines, Way::Drain, clock),
+                None => {
+                    let Some(work) = self.work.get(&rank.job) else { return };
+                    let grown = self.room_grown(work);
+                    self.searched.found_nothing(work, count, grown, clock.now);
+                }
+            },
         }
-        victims.sort_by_key(|(loss, save, _)| (*loss, *save));
-        for (loss, save, need) in victims {
-            if work.info.need.fits(&room) {
-                break;
-            }
-            room.add(&need);
-            wait = wait.max(save + HALT_MS);
-            lost += loss;
-        }
-        (room, wait + lost / work.info.need.cpu.max(1))
     }
 
-    /// How long stopping the task takes, and the CPU milliseconds lost (in thousandths of
-    /// CPUs); None if it must not be stopped: only less urgent work may be, and what another
-    /// team has borrowed, to give this one its guarantee.
-    fn loss(&self, binding: &Binding, work: &Work, clock: Clock) -> Option<(u64, u64)> {
-        let victim = self.work.get(&binding.job?)?;
-        let less_urgent = victim.info.urgency > work.info.urgency;
-        // Renting costs less than lost work, so what is lent is claimed only after a while.
-        let waited = clock.wall_ms.saturating_sub(work.info.accepted_wall_ms);
-        let borrowed = waited >= CLAIM_MS
-            && victim.info.team != work.info.team
-            && self.borrows(victim.info.team)
-            && self.within_guarantee(work.info.team, &work.info.need.times(u64::from(work.left())));
-        if !less_urgent && !borrowed {
-            return None;
-        }
-        // A gang stops as a whole, and what it has fetched and gathered is lost too: without
-        // this, gangs that borrow were stopped again and again before they ran at all.
-        let (all, again_ms) = match victim.info.shape {
-            Shape::Gang => (u64::from(victim.info.tasks), AGAIN_MS),
-            _ => (1, 0),
-        };
-        let lost = |ms: u64| binding.need.cpu * (ms + again_ms) * all;
-        if victim.info.checkpoint_ms > 0 && binding.running_since.is_some() {
-            return Some((victim.info.save_ms, lost(victim.info.save_ms)));
+    fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[MachineIx]) {
+        let attempt = self.next_attempt();
+        for (task, ix) in tasks.iter().zip(machines) {
+            self.bind(*ix, rank.job, *task, attempt);
         }
-        let since = binding.running_since.or(binding.fetching_since);
-        Some((0, lost(since.map_or(0, |since| clock.now.since(since)))))
+        self.drop_holds(rank.job);
+        self.gangs.remove(&rank);
     }
 
     /// Holds machines for a gang, and stops tasks on them if that is the way.
@@ -270,11 +127,12 @@
         let Some(work) = self.work.get(&job) else { return };
         let machine = &self.machines[ix.at()];
         let mut room = machine.free();
+        let stops = self.stops(work, clock);
         let mut victims: Vec<(u64, u64, usize)> = Vec::new();
         for (at, binding) in machine.bindings.iter().enumerate() {
             if binding.halt.is_some() {
                 room.add(&binding.need);
-            } else if let Some((save, loss)) = self.loss(binding, work, clock) {
+            } else if let Some((save, loss)) = self.loss(binding, &stops, clock) {
                 victims.push((loss, save, at));
             }
         }
@@ -304,6 +162,7 @@
         if work.info.shape != Shape::Gang {
             self.machines[ix.at()].bindings[at].halt.get_or_insert(grace);
             self.to_tell.insert(ix);
+            self.roster.grew(ix);
             return;
         }
         let places: Vec<MachineIx> = work.out.values().flatten().map(|(ix, _)| *ix).collect();
@@ -314,6 +173,7 @@
                 }
             }
             self.to_tell.insert(ix);
+            self.roster.grew(ix);
         }
     }
 
--- a/src/coordination/leader/placement/mod.rs
+++ b/src/coordination/leader/placement/mod.rs
@@ -4,4 +4,5 @@
 pub mod gangs;
 pub mod policy;
 pub mod queues;
+pub mod search;
 pub mod teams;
--- a/src/coordination/leader/placement/teams.rs
+++ b/src/coordination/leader/placement/teams.rs
@@ -4,6 +4,7 @@
 
 use crate::coordination::leader::{Leader, Work};
 use crate::ids::{Amount, TeamIx};
+use crate::settings::Team;
 
 impl Leader {
     /// Which jobs fit into their teams' guarantees together with what is left of the teams'
@@ -44,10 +45,12 @@
         used.cpu + need.cpu <= settings.guaranteed.cpu && used.gpu + need.gpu <= settings.guaranteed.gpu
     }
 
-    /// Does the team use more than it is guaranteed? What is above is borrowed.
-    pub fn borrows(&self, team: TeamIx) -> bool {
-        let Some(settings) = self.teams.get(&team) else { return false };
-        let used = self.used_by(team);
-        used.cpu > settings.guaranteed.cpu || used.gpu > settings.guaranteed.gpu
+    /// Teams that use more than they are guaranteed: what is above is borrowed.
+    pub fn borrowers(&self) -> Vec<TeamIx> {
+        let above = |(team, settings): &(&TeamIx, &Team)| {
+            let used = self.used_by(**team);
+            used.cpu > settings.guaranteed.cpu || used.gpu > settings.guaranteed.gpu
+        };
+        self.teams.iter().filter(above).map(|(team, _)| *team).collect()
     }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -167,7 +167,7 @@
 
 /// What a task takes, or a machine has. CPUs and accelerators in thousandths,
 /// memory in MiB-like thousandths of a GB, so that sums are exact.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Default)]
 pub struct Amount {
     pub cpu: u64,
     pub gpu: u64,
