Overload: claims only what is lent, scarce machines kept for gangs, fewest jobs late

Change: crates/admission has what is lent and claimed once (lent), and what parties were given lately and who is below its floor (served). A claim may not take more than lies above a guarantee and is not being stopped already. As many machines of a scarce type as gangs wait for take no queued tasks. Jobs that cannot meet their last aim even if smaller ones go first are put off, least work left first; parties below their floor come forward. With too many gangs small ones go first. Standings of jobs are dense; counts of running tasks come from an index instead of a walk over the log at each poll.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,6 +1,6 @@
 //! The state service as this controller last saw it.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::ops::Bound;
 
 use super::bits::Bits;
@@ -10,7 +10,7 @@
     BookingRecord, EndDetail, EndRecord, FinishedRecord, JobRecord, Key, LeaderRecord, LogRecord,
     MachineRecord,
 };
-use crate::ids::{ClassIx, JobId, JobIx, Revision, TaskRef, TeamIx};
+use crate::ids::{ClassIx, JobId, JobIx, Revision, TeamIx};
 use crate::protocol::cloud::CatalogEntry;
 use crate::protocol::state::Pair;
 
@@ -39,6 +39,8 @@
     pub machines: BTreeMap<String, MachineRecord>,
     /// The leaders' log, by the name of its part.
     pub log: BTreeMap<String, LogRecord>,
+    /// Tasks that the log tells of, by job, and in how many of its entries: counted at every poll of a user.
+    told: HashMap<JobId, BTreeMap<u32, u32>>,
     pub bookings: BTreeMap<String, BookingRecord>,
     pub kinds: BTreeMap<String, CatalogEntry>,
     jobs: Vec<Option<Box<Job>>>,
@@ -224,7 +226,10 @@
                 for (id, first, count) in record.done_rows() {
                     self.finished(id, Early::Row(first, count));
                 }
-                self.log.insert(name.clone(), record);
+                self.tell(&record);
+                if let Some(before) = self.log.insert(name.clone(), record) {
+                    self.untell(&before);
+                }
                 None
             }
             Key::Machine(name) => {
@@ -276,7 +281,9 @@
                 self.machines.remove(name);
             }
             Key::Log(name) => {
-                self.log.remove(name);
+                if let Some(record) = self.log.remove(name) {
+                    self.untell(&record);
+                }
             }
             Key::Booking(name) => {
                 self.bookings.remove(name);
@@ -350,27 +357,36 @@
         }
     }
 
+    fn tell(&mut self, record: &LogRecord) {
+        for (task, _) in record.starts() {
+            *self.told.entry(task.job).or_default().entry(task.task).or_default() += 1;
+        }
+    }
+
+    fn untell(&mut self, record: &LogRecord) {
+        for (task, _) in record.starts() {
+            let Some(tasks) = self.told.get_mut(&task.job) else { continue };
+            if let Some(count) = tasks.get_mut(&task.task).filter(|count| **count > 1) {
+                *count -= 1;
+                continue;
+            }
+            tasks.remove(&task.task);
+            if tasks.is_empty() {
+                self.told.remove(&task.job);
+            }
+        }
+    }
+
     /// Tasks of a job that may be on machines, by the records: for display.
     pub fn recorded_running(&self, id: JobId) -> u32 {
-        let Some(job) = self.find_job(id) else { return 0 };
-        let starts = self.log.values().flat_map(LogRecord::starts);
-        let ours = starts.filter(|(task, _)| task.job == id && !job.finished.has(task.task));
-        let mut tasks: Vec<u32> = ours.map(|(task, _)| task.task).collect();
-        tasks.sort_unstable();
-        tasks.dedup();
-        tasks.len() as u32
+        let Some((job, tasks)) = self.find_job(id).zip(self.told.get(&id)) else { return 0 };
+        tasks.keys().filter(|task| !job.finished.has(**task)).count() as u32
     }
 
-    /// The same for all jobs in one walk over the log.
+    /// The same for all jobs.
     pub fn all_recorded_running(&self) -> BTreeMap<JobId, u32> {
-        let starts = self.log.values().flat_map(LogRecord::starts).map(|(task, _)| task);
-        let open = |task: &TaskRef| self.find_job(task.job).is_some_and(|job| !job.finished.has(task.task));
-        let tasks: BTreeSet<TaskRef> = starts.filter(open).collect();
-        let mut running = BTreeMap::new();
-        for task in tasks {
-            *running.entry(task.job).or_default() += 1;
-        }
-        running
+        let running = self.told.keys().map(|id| (*id, self.recorded_running(*id)));
+        running.filter(|(_, tasks)| *tasks > 0).collect()
     }
 
     /// Where tasks of a job may be, by the records: machine and attempt.
--- a/src/coordination/leader/explain.rs
+++ b/src/coordination/leader/explain.rs
@@ -157,7 +157,7 @@
             let gangs = gangs.take(MOST_NAMED).map(|work| work.info.id.to_string()).collect();
             reasons.push(Reason::HeldForGang { machines: tally.held, gangs });
         }
-        reasons.extend(self.behind(ix, work, clock));
+        reasons.extend(self.behind(ix, work));
         self.fleet_reasons(work, names, clock, tally.booting, reasons);
     }
 
@@ -281,7 +281,7 @@
                         tally.holders.extend(hold.map(|hold| hold.job));
                     }
                     // Gangs and services may use machines that take no queued tasks.
-                    _ if machine.parked && !work.info.together() => kind.parked += 1,
+                    _ if (machine.parked || machine.kept) && !work.info.together() => kind.parked += 1,
                     _ => tally.able += 1,
                 }
             }
@@ -289,8 +289,8 @@
     }
 
     /// Work whose turn comes first on a machine type that the job may use too.
-    fn behind(&self, ix: JobIx, work: &Work, clock: Clock) -> Option<Reason> {
-        let turn = self.turn(&work.rank, clock)?;
+    fn behind(&self, ix: JobIx, work: &Work) -> Option<Reason> {
+        let turn = self.turn(&work.rank);
         let shares = |other: &Work| {
             self.kinds.keys().any(|kind| other.info.allows_kind(*kind) && work.info.allows_kind(*kind))
         };
@@ -298,7 +298,7 @@
             .work
             .iter()
             .filter(|(other, _)| **other != ix)
-            .filter_map(|(_, other)| Some((self.turn(&other.rank, clock)?, other)))
+            .map(|(_, other)| (self.turn(&other.rank), other))
             .filter(|(theirs, other)| *theirs < turn && shares(other))
             .map(|(theirs, other)| (theirs, other, u64::from(other.left()) - other.out.len() as u64))
             .filter(|(_, _, waiting)| *waiting > 0)
--- a/src/coordination/leader/machines/plan.rs
+++ b/src/coordination/leader/machines/plan.rs
@@ -75,6 +75,7 @@
             return;
         }
         self.mark_guaranteed();
+        self.mark_late(clock);
         let mut plan = Plan::new(self, clock);
         plan.lay_out();
         let (used, wanted) = (plan.used, plan.wanted);
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -434,7 +434,8 @@
             let Some(work) = self.work.get_mut(&ix) else {
                 continue;
             };
-            if work.out.contains_key(&piece.task.task) {
+            // Counted already: it only waits to be reaped.
+            if work.out.contains_key(&piece.task.task) || work.done.has(piece.task.task) {
                 continue;
             }
             let machine = self.by_name.get(&report.machine).copied();
--- a/src/coordination/leader/machines/roster.rs
+++ b/src/coordination/leader/machines/roster.rs
@@ -41,7 +41,8 @@
 const LIMITED_WOKEN: usize = 8;
 
 impl Roster {
-    pub fn set(&mut self, ix: MachineIx, sort: Sort, open: bool, parked: bool) {
+    /// `queued`: it takes queued tasks while it is open.
+    pub fn set(&mut self, ix: MachineIx, sort: Sort, open: bool, queued: bool) {
         let machines = self.sorts.entry(sort).or_default();
         self.kinds.insert(ix, sort.0);
         if !open {
@@ -51,7 +52,7 @@
             machines.insert(ix);
             self.grew(ix);
         }
-        let takes = open && !parked;
+        let takes = open && queued;
         match (self.place.get(&ix).copied(), takes) {
             (None, true) => {
                 self.place.insert(ix, self.takers.len());
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
+use olivelatch_admission::served::Served;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -33,7 +34,8 @@
 use machines::fleet::Fleet;
 use machines::roster::Roster;
 use placement::gangs;
-use placement::policy::Rank;
+use placement::overload::{self, Party};
+use placement::policy::{Rank, Standings};
 use placement::queues::Queue;
 use placement::search::Searched;
 use records::history::{History, PartId};
@@ -137,6 +139,8 @@
     pub slow: bool,
     /// Not needed: takes no queued tasks, so that it runs empty.
     pub parked: bool,
+    /// Gangs wait for machines like it: takes no queued tasks either.
+    pub kept: bool,
     /// Times of the tasks it finished within the last minute.
     pub finishes: Vec<Millis>,
 }
@@ -182,8 +186,6 @@
     pub forgive_next: Millis,
     pub ending: bool,
     pub first_run: FirstRun,
-    /// It fits into its team's guarantee together with the team's earlier jobs.
-    pub guaranteed: bool,
     /// Of a graph's node.
     pub node: Option<Box<flows::NodeWork>>,
 }
@@ -242,9 +244,12 @@
     pub by_name: HashMap<String, MachineIx>,
     pub work: BTreeMap<JobIx, Work>,
     pub usage: HashMap<TeamIx, Amount>,
+    /// What of it has been told to stop, when gangs were last placed.
+    stopping: HashMap<TeamIx, Amount>,
     teams: HashMap<TeamIx, Team>,
-    /// Some job fits into its team's guarantee.
-    some_guaranteed: bool,
+    standings: Standings,
+    /// CPU milliseconds (in thousandths of CPUs) started for each party lately.
+    served: Served<Party>,
     pub kinds: BTreeMap<KindIx, Kind>,
     /// Within what time a class's jobs should be done, by the settings' objectives.
     pub aims: HashMap<ClassIx, Vec<u64>>,
@@ -254,6 +259,8 @@
     delayed: BTreeMap<Millis, Vec<(JobIx, u32)>>,
     /// Machines held for gangs.
     pub held: BTreeSet<MachineIx>,
+    /// Machines kept from queued tasks because gangs wait for their type.
+    kept: BTreeSet<MachineIx>,
     /// Gangs and services with tasks to place.
     pub gangs: BTreeSet<Rank>,
     pub writer: Writer,
@@ -312,13 +319,16 @@
             by_name: HashMap::new(),
             work: BTreeMap::new(),
             usage: HashMap::new(),
+            stopping: HashMap::new(),
             teams: HashMap::new(),
-            some_guaranteed: false,
+            standings: Standings::default(),
+            served: Served::new(overload::WINDOW_MS, clock.now.0),
             kinds: BTreeMap::new(),
             aims: HashMap::new(),
             backlog: Queue::default(),
             delayed: BTreeMap::new(),
             held: BTreeSet::new(),
+            kept: BTreeSet::new(),
             gangs: BTreeSet::new(),
             writer: Writer::default(),
             history: History::default(),
@@ -438,7 +448,6 @@
             forgive_next: Millis::default(),
             ending: false,
             first_run: self.journal.first_run(),
-            guaranteed: false,
             node: None,
         });
         self.node_work(ix, mirror);
@@ -546,6 +555,7 @@
             pace: (0, 0.0),
             slow: false,
             parked: false,
+            kept: false,
             finishes: Vec::new(),
         });
         ix
@@ -554,7 +564,8 @@
     /// Something changed that decides whether the machine takes queued tasks.
     pub fn refresh(&mut self, ix: MachineIx) {
         let machine = &self.machines[ix.at()];
-        self.roster.set(ix, (machine.kind, machine.zone), machine.open(), machine.parked);
+        let queued = !machine.parked && !machine.kept;
+        self.roster.set(ix, (machine.kind, machine.zone), machine.open(), queued);
     }
 
     /// It stops working, or never started: it is returned.
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -7,6 +7,8 @@
 
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::policy::{Rank, Turn};
+use crate::coordination::leader::placement::queues::Queue;
+use crate::coordination::leader::placement::scarce::Waits;
 use crate::coordination::leader::records::history::Start;
 use crate::coordination::leader::{Binding, Leader, Run, Work};
 use crate::ids::{Amount, Attempt, JobIx, MachineIx, TaskRef};
@@ -221,6 +223,8 @@
             }
             self.gangs_next = clock.now.plus(GANGS_EVERY_MS);
             self.place_gangs(clock);
+        } else if !self.kept.is_empty() {
+            self.keep_scarce(&Waits::default());
         }
         let mut order = self.roster.take(clock.now);
         order.retain(|ix| self.machines[ix.at()].held_for.is_none());
@@ -267,7 +271,7 @@
         let mut steals = 0;
         loop {
             // Dedicated first (source): those tasks wait for this machine alone.
-            while self.bind_from(ix, true, clock) || self.bind_from(ix, false, clock) {}
+            while self.bind_from(ix, true) || self.bind_from(ix, false) {}
             let machine = &self.machines[ix.at()];
             let idle = machine.shared.is_empty() && machine.free().cpu > 0;
             if !idle || clock.now < machine.next_steal || steals >= STEALS_A_ROUND {
@@ -291,40 +295,27 @@
     }
 
     /// When the job's turn comes: `policy` has the order.
-    pub fn turn(&self, rank: &Rank, clock: Clock) -> Option<Turn> {
-        let work = self.work.get(&rank.job)?;
-        Some(Turn::new(rank, work.guaranteed, self.hopeless(work, clock)))
+    pub fn turn(&self, rank: &Rank) -> Turn {
+        Turn::new(rank, self.standings.of(rank.job))
     }
 
     /// Starts the first task of a queue that may start now. Instead of its own shared task
     /// a machine takes one whose turn is earlier, if it finds one in a sample.
-    fn bind_from(&mut self, ix: MachineIx, dedicated: bool, clock: Clock) -> bool {
+    fn bind_from(&mut self, ix: MachineIx, dedicated: bool) -> bool {
         let machine = &self.machines[ix.at()];
         if machine.bindings.len() >= self.most_tasks {
             return false;
         }
         let queue = if dedicated { &machine.dedicated } else { &machine.shared };
         let free = machine.free();
-        let mut limited = false;
-        let mut first: Option<Turn> = None;
-        for rank in queue.ranks() {
-            // Long queues are not gone through to their ends: what comes later in rank cannot come before this one.
-            if first.is_some_and(|first| first.before_all_behind(rank, self.some_guaranteed)) {
-                break;
-            }
-            let may = self.may_start(ix, &free, rank.job);
-            limited |= may.is_none();
-            if may == Some(true) {
-                first = self.turn(rank, clock).into_iter().chain(first).min();
-            }
-        }
+        let (first, limited) = self.first_turn(queue, ix, &free);
         let Some(turn) = first else {
             if limited {
                 self.roster.limited(ix);
             }
             return false;
         };
-        let earlier = if dedicated { None } else { self.earlier_turn(ix, &free, turn, clock) };
+        let earlier = if dedicated { None } else { self.earlier_turn(ix, &free, turn) };
         let (from, rank) = earlier.unwrap_or((ix, turn.rank));
         let machine = &mut self.machines[from.at()];
         let queue = if dedicated { &mut machine.dedicated } else { &mut machine.shared };
@@ -336,23 +327,45 @@
         true
     }
 
+    /// The first turn of those in a queue that may start on a machine with so much room; and whether a limit of a team or
+    /// pool kept others from starting.
+    fn first_turn(&self, queue: &Queue, ix: MachineIx, free: &Amount) -> (Option<Turn>, bool) {
+        let mut limited = false;
+        let mut first: Option<Turn> = None;
+        for rank in queue.ranks() {
+            // Long queues are not gone through to their ends: what comes later in rank cannot come before this one.
+            if first.is_some_and(|first| first.before_all_behind(rank, self.standings.present)) {
+                break;
+            }
+            let turn = self.turn(rank);
+            if first.is_some_and(|first| first < turn) {
+                continue;
+            }
+            let may = self.may_start(ix, free, rank.job);
+            limited |= may.is_none();
+            if may == Some(true) {
+                first = Some(turn);
+            }
+        }
+        (first, limited)
+    }
+
     /// A queue of a random sample whose first task comes before `turn` and may start here.
     /// Thieves of the source are idle; with queues everywhere nobody is, and tasks that are
     /// due would wait for their own machine however long its tasks run.
-    fn earlier_turn(
-        &mut self,
-        ix: MachineIx,
-        free: &Amount,
-        turn: Turn,
-        clock: Clock,
-    ) -> Option<(MachineIx, Rank)> {
+    fn earlier_turn(&mut self, ix: MachineIx, free: &Amount, turn: Turn) -> Option<(MachineIx, Rank)> {
         let sample = self.draw();
-        let first = |other: MachineIx| {
-            let rank = self.machines[other.at()].shared.first()?;
-            let theirs = self.turn(&rank, clock).filter(|theirs| *theirs < turn)?;
-            (self.may_start(ix, free, rank.job) == Some(true)).then_some((theirs, other))
+        // While some jobs are late the first in rank need not be the first in turn.
+        let first = |queue: &Queue| {
+            let rank = queue.first()?;
+            let all = self.standings.present.late || self.standings.present.behind;
+            if all { queue.ranks().map(|rank| self.turn(rank)).min() } else { Some(self.turn(&rank)) }
+        };
+        let better = |other: MachineIx| {
+            let theirs = first(&self.machines[other.at()].shared).filter(|theirs| *theirs < turn)?;
+            (self.may_start(ix, free, theirs.rank.job) == Some(true)).then_some((theirs, other))
         };
-        let best = sample.into_iter().filter(|other| *other != ix).filter_map(first).min()?;
+        let best = sample.into_iter().filter(|other| *other != ix).filter_map(better).min()?;
         self.counters.stolen += 1;
         Some((best.1, best.0.rank))
     }
@@ -384,6 +397,7 @@
             gone_by: None,
         };
         let start = Start { machine: ix, task: binding.task, attempt };
+        self.started(job);
         self.journal.note(start.task.job, EventWord::Bound, Some(ix), start.task.task, 1);
         self.attach(ix, binding);
         self.history.start(start);
--- a/src/coordination/leader/placement/gangs.rs
+++ b/src/coordination/leader/placement/gangs.rs
@@ -4,6 +4,8 @@
 
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::policy::Rank;
+use crate::coordination::leader::placement::scarce::Waits;
+use crate::coordination::leader::placement::search::Loss;
 use crate::coordination::leader::{Binding, Leader, Run, Work};
 use crate::ids::{Amount, JobIx, MachineIx, Millis};
 use crate::protocol::operators::EventWord;
@@ -32,8 +34,10 @@
 
 impl Leader {
     pub fn place_gangs(&mut self, clock: Clock) {
-        let ranks: Vec<Rank> = self.gangs.iter().copied().collect();
+        self.count_stopping();
+        let ranks = self.gang_order();
         let holders: HashSet<JobIx> = self.held.iter().filter_map(|ix| self.holder(*ix)).collect();
+        let mut waits = Waits::default();
         for rank in ranks {
             let Some(work) = self.work.get(&rank.job) else {
                 self.gangs.remove(&rank);
@@ -52,18 +56,22 @@
                 continue;
             }
             let holds = holders.contains(&rank.job);
-            if !holds && self.searched.in_vain(work, tasks.len(), self.room_grown(work), clock.now) {
-                continue;
+            let vain = !holds && self.searched.in_vain(work, tasks.len(), self.room_grown(work), clock.now);
+            if (vain || !self.place_gang(rank, &tasks, holds, clock))
+                && let Some(work) = self.work.get(&rank.job)
+            {
+                self.waits_for(work, tasks.len(), &mut waits);
             }
-            self.place_gang(rank, &tasks, holds, clock);
         }
+        self.keep_scarce(&waits);
     }
 
     fn holder(&self, ix: MachineIx) -> Option<JobIx> {
         self.machines[ix.at()].held_for.map(|hold| hold.job)
     }
 
-    fn place_gang(&mut self, rank: Rank, tasks: &[u32], holds: bool, clock: Clock) {
+    /// False if it can only wait for others' tasks to end.
+    fn place_gang(&mut self, rank: Rank, tasks: &[u32], holds: bool, clock: Clock) -> bool {
         let count = tasks.len();
         // Room that is free may be dearer than room to be made: an image has to be fetched.
         let free = self.slots(rank.job, count, Way::Free, clock);
@@ -72,19 +80,24 @@
         match (free, halted) {
             (Some((now, machines)), halted) if halted.as_ref().is_none_or(|(later, _)| now <= *later) => {
                 self.start_gang(rank, tasks, &machines);
+                return true;
+            }
+            (_, Some((_, machines))) => {
+                self.make_room(rank, &machines, Way::Halt, clock);
+                return true;
             }
-            (_, Some((_, machines))) => self.make_room(rank, &machines, Way::Halt, clock),
             // Who holds machines already waits for their room, not for still others.
             (_, None) if holds => {}
             (_, None) => match self.slots(rank.job, count, Way::Drain, clock) {
                 Some((_, machines)) => self.make_room(rank, &machines, Way::Drain, clock),
                 None => {
-                    let Some(work) = self.work.get(&rank.job) else { return };
+                    let Some(work) = self.work.get(&rank.job) else { return true };
                     let grown = self.room_grown(work);
                     self.searched.found_nothing(work, count, grown, clock.now);
                 }
             },
         }
+        false
     }
 
     fn start_gang(&mut self, rank: Rank, tasks: &[u32], machines: &[MachineIx]) {
@@ -115,37 +128,48 @@
             *wanted.entry(ix).or_default() += 1;
         }
         for (ix, tasks) in wanted {
+            if way == Way::Halt && !self.halt_for(ix, &need.times(tasks), rank.job, clock) {
+                continue;
+            }
             self.machines[ix.at()].held_for = Some(Hold { job: rank.job, until, way });
             self.held.insert(ix);
-            if way == Way::Halt {
-                self.halt_for(ix, &need.times(tasks), rank.job, clock);
-            }
         }
     }
 
-    fn halt_for(&mut self, ix: MachineIx, need: &Amount, job: JobIx, clock: Clock) {
-        let Some(work) = self.work.get(&job) else { return };
+    /// Stops tasks until there is so much room. False if it cannot be had: nothing is stopped for less.
+    fn halt_for(&mut self, ix: MachineIx, need: &Amount, job: JobIx, clock: Clock) -> bool {
+        let Some(work) = self.work.get(&job) else { return false };
         let machine = &self.machines[ix.at()];
         let mut room = machine.free();
-        let stops = self.stops(work, clock);
-        let mut victims: Vec<(u64, u64, usize)> = Vec::new();
+        let mut stops = self.stops(work, clock);
+        let mut victims: Vec<(Loss, usize)> = Vec::new();
         for (at, binding) in machine.bindings.iter().enumerate() {
             if binding.halt.is_some() {
                 room.add(&binding.need);
-            } else if let Some((save, loss)) = self.loss(binding, &stops, clock) {
-                victims.push((loss, save, at));
+            } else if let Some(loss) = self.loss(binding, &stops, clock) {
+                victims.push((loss, at));
             }
         }
-        victims.sort();
-        for (_, _, at) in victims {
+        victims.sort_by_key(|(loss, at)| (loss.lost, loss.save_ms, *at));
+        let mut stopped = Vec::new();
+        for (loss, at) in victims {
             if need.fits(&room) {
                 break;
             }
-            room.add(&self.machines[ix.at()].bindings[at].need);
+            if stops.claim(&loss) {
+                room.add(&machine.bindings[at].need);
+                stopped.push(at);
+            }
+        }
+        if !need.fits(&room) {
+            return false;
+        }
+        for at in stopped {
             self.halt(ix, at, EventWord::HaltedForUrgent);
             self.counters.preempted += 1;
         }
         self.drop_unsent(ix, clock);
+        true
     }
 
     /// Stops one task; one that saves gets the time for it. A gang stops as a whole.
@@ -159,8 +183,10 @@
         let grace = if work.info.checkpoint_ms > 0 { work.info.save_ms + GRACE_MS } else { 0 };
         let task = self.machines[ix.at()].bindings[at].task;
         self.journal.note(task.job, why, Some(ix), task.task, 1);
+        let (need, team) = (work.info.need, work.info.team);
         if work.info.shape != Shape::Gang {
             self.machines[ix.at()].bindings[at].halt.get_or_insert(grace);
+            self.stopping.entry(team).or_default().add(&need);
             self.to_tell.insert(ix);
             self.roster.grew(ix);
             return;
@@ -168,8 +194,9 @@
         let places: Vec<MachineIx> = work.out.values().flatten().map(|(ix, _)| *ix).collect();
         for ix in places {
             for binding in &mut self.machines[ix.at()].bindings {
-                if binding.job == Some(job) {
-                    binding.halt.get_or_insert(grace);
+                if binding.job == Some(job) && binding.halt.is_none() {
+                    binding.halt = Some(grace);
+                    self.stopping.entry(team).or_default().add(&need);
                 }
             }
             self.to_tell.insert(ix);
--- a/src/coordination/leader/placement/mod.rs
+++ b/src/coordination/leader/placement/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod dispatch;
 pub mod gangs;
+pub mod overload;
 pub mod policy;
 pub mod queues;
+pub mod scarce;
 pub mod search;
 pub mod teams;
--- a/src/coordination/leader/placement/search.rs
+++ b/src/coordination/leader/placement/search.rs
@@ -3,6 +3,8 @@
 
 use std::collections::HashMap;
 
+use olivelatch_admission::lent::{Lent, Room};
+
 use crate::bookkeeping::jobs::JobInfo;
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::gangs::Way;
@@ -85,17 +87,37 @@
 pub struct Stops {
     urgency: Urgency,
     team: TeamIx,
-    /// Teams that use more than they are guaranteed, if this job may claim some of it back.
-    borrowers: Vec<TeamIx>,
+    /// What it may claim back of what other teams have borrowed.
+    lent: Lent<TeamIx, JobIx>,
 }
 
 impl Stops {
-    fn may(&self, victim: &Work) -> bool {
-        let info = &victim.info;
-        info.urgency > self.urgency || (info.team != self.team && self.borrowers.contains(&info.team))
+    /// Whatever is claimed of lent room is there only once.
+    pub fn claim(&mut self, loss: &Loss) -> bool {
+        loss.claim.is_none_or(|claim| self.lent.claim(claim.team, claim.room, claim.whole))
     }
 }
 
+/// A borrowed place that would be claimed back.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    team: TeamIx,
+    room: Room,
+    whole: Option<JobIx>,
+}
+
+/// What stopping a task costs.
+pub struct Loss {
+    /// How long it takes to save, in milliseconds.
+    pub save_ms: u64,
+    /// CPU milliseconds lost, in thousandths of CPUs.
+    pub lost: u64,
+    claim: Option<Claim>,
+}
+
+/// A machine that a gang could use: cost in milliseconds, tasks it has room for, whose places would be claimed.
+type Candidate = (u64, u64, MachineIx, Vec<Claim>);
+
 impl Leader {
     /// A machine for each of `count` tasks, or None; room that can be made this way counts too.
     pub fn slots(&self, job: JobIx, count: usize, way: Way, clock: Clock) -> Option<Slots> {
@@ -126,37 +148,74 @@
         way: Way,
         clock: Clock,
     ) -> Slots {
-        let mut candidates: Vec<(u64, u64, MachineIx)> = Vec::new();
         let stops = self.stops(work, clock);
-        for ix in self.roster.open_in(|kind, there| zone.is_none_or(|zone| zone == there) && self.fits_kind(work, kind)) {
+        let candidates = self.candidates(job, work, zone, way, &stops, clock);
+        self.choose(work, count, candidates, stops.lent)
+    }
+
+    /// Machines with room for at least one task, those that cost least first.
+    fn candidates(
+        &self,
+        job: JobIx,
+        work: &Work,
+        zone: Option<ZoneIx>,
+        way: Way,
+        stops: &Stops,
+        clock: Clock,
+    ) -> Vec<Candidate> {
+        let mut candidates: Vec<Candidate> = Vec::new();
+        for ix in self
+            .roster
+            .open_in(|kind, there| zone.is_none_or(|zone| zone == there) && self.fits_kind(work, kind))
+        {
             let machine = &self.machines[ix.at()];
-            if !self.may_use(machine, job, way) || (way == Way::Free && !work.info.need.fits(&machine.free())) {
+            if !self.may_use(machine, job, way) || (way == Way::Free && !work.info.need.fits(&machine.free()))
+            {
                 continue;
             }
             if !self.suits(ix, work) || !self.zone_allows(ix, work) {
                 continue;
             }
-            let (room, cost) = match way {
-                Way::Free => (machine.free(), 0),
-                Way::Halt => self.room_after_halts(ix, work, &stops, clock),
+            let (room, cost, claims) = match way {
+                Way::Free => (machine.free(), 0, Vec::new()),
+                Way::Halt => self.room_after_halts(ix, work, stops, clock),
                 Way::Drain => self.room_after_ends(ix, work, clock),
             };
             let slots = work.info.need.count_in(&room).min(self.most_tasks as u64);
             if slots > 0 {
-                candidates.push((cost + self.fetch_ms(ix, work), slots, ix));
+                candidates.push((cost + self.fetch_ms(ix, work), slots, ix, claims));
             }
         }
-        candidates.sort();
+        candidates.sort_by_key(|(cost, slots, ix, _)| (*cost, *slots, *ix));
+        candidates
+    }
+
+    /// As many machines as it takes; what is claimed on all of them together must be lent.
+    fn choose(
+        &self,
+        work: &Work,
+        count: usize,
+        candidates: Vec<Candidate>,
+        mut lent: Lent<TeamIx, JobIx>,
+    ) -> Slots {
         let cap = if work.info.spread { work.info.tasks.div_ceil(2) } else { u32::MAX };
         let mut in_zone: HashMap<ZoneIx, u32> = work.zones.clone();
         let mut chosen = Vec::new();
         let mut delay = 0;
-        for (cost, slots, ix) in candidates {
+        for (cost, slots, ix, claims) in candidates {
+            if chosen.len() == count {
+                break;
+            }
+            let mut rest = lent.clone();
+            if !claims.iter().all(|claim| rest.claim(claim.team, claim.room, claim.whole)) {
+                continue;
+            }
             let used = in_zone.entry(self.machines[ix.at()].zone).or_default();
             let take = slots.min(u64::from(cap.saturating_sub(*used))).min((count - chosen.len()) as u64);
             *used += take as u32;
             if take > 0 {
                 delay = delay.max(cost);
+                lent = rest;
             }
             chosen.extend(std::iter::repeat_n(ix, take as usize));
         }
@@ -168,8 +227,9 @@
         self.roster.grown(|kind| self.fits_kind(work, kind))
     }
 
-    fn fits_kind(&self, work: &Work, kind: KindIx) -> bool {
-        work.info.allows_kind(kind) && self.kinds.get(&kind).is_none_or(|kind| work.info.need.fits(&kind.size))
+    pub fn fits_kind(&self, work: &Work, kind: KindIx) -> bool {
+        work.info.allows_kind(kind)
+            && self.kinds.get(&kind).is_none_or(|kind| work.info.need.fits(&kind.size))
     }
 
     /// Whoever may stop tasks need not wait for a machine that is only being drained.
@@ -188,7 +248,7 @@
 
     /// Room for one task once enough of the machine's tasks have run to their ends, and how
     /// long that takes; none if it is longer than a machine may be held.
-    fn room_after_ends(&self, ix: MachineIx, work: &Work, clock: Clock) -> (Amount, u64) {
+    fn room_after_ends(&self, ix: MachineIx, work: &Work, clock: Clock) -> (Amount, u64, Vec<Claim>) {
         let machine = &self.machines[ix.at()];
         let mut room = machine.free();
         let left = |binding: &Binding| self.left_cpu_ms(binding, clock) * 1000 / binding.need.cpu.max(1);
@@ -203,34 +263,47 @@
             wait = ms;
         }
         let held_ms = (self.tunables.hold_s * 1000.0) as u64;
-        if wait <= held_ms { (room, wait) } else { (Amount::default(), wait) }
+        let room = if wait <= held_ms { room } else { Amount::default() };
+        (room, wait, Vec::new())
     }
 
     /// Room on a machine once less urgent tasks have stopped, and what that costs in
     /// milliseconds: the wait for them to save, and the work that is lost.
-    fn room_after_halts(&self, ix: MachineIx, work: &Work, stops: &Stops, clock: Clock) -> (Amount, u64) {
+    fn room_after_halts(
+        &self,
+        ix: MachineIx,
+        work: &Work,
+        stops: &Stops,
+        clock: Clock,
+    ) -> (Amount, u64, Vec<Claim>) {
         let machine = &self.machines[ix.at()];
         let mut room = machine.free();
         let (mut wait, mut lost) = (0, 0);
-        let mut victims: Vec<(u64, u64, Amount)> = Vec::new();
+        let mut victims: Vec<(Loss, Amount)> = Vec::new();
         for binding in &machine.bindings {
             if binding.halt.is_some() {
                 room.add(&binding.need);
                 wait = wait.max(HALT_MS);
-            } else if let Some((save, loss)) = self.loss(binding, stops, clock) {
-                victims.push((loss, save, binding.need));
+            } else if let Some(loss) = self.loss(binding, stops, clock) {
+                victims.push((loss, binding.need));
             }
         }
-        victims.sort_by_key(|(loss, save, _)| (*loss, *save));
-        for (loss, save, need) in victims {
+        victims.sort_by_key(|(loss, _)| (loss.lost, loss.save_ms));
+        let mut lent = stops.lent.clone();
+        let mut claims = Vec::new();
+        for (loss, need) in victims {
             if work.info.need.fits(&room) {
                 break;
             }
+            if !loss.claim.is_none_or(|claim| lent.claim(claim.team, claim.room, claim.whole)) {
+                continue;
+            }
+            claims.extend(loss.claim);
             room.add(&need);
-            wait = wait.max(save + HALT_MS);
-            lost += loss;
+            wait = wait.max(loss.save_ms + HALT_MS);
+            lost += loss.lost;
         }
-        (room, wait + lost / work.info.need.cpu.max(1))
+        (room, wait + lost / work.info.need.cpu.max(1), claims)
     }
 
     /// Only less urgent work may be stopped, and what other teams have borrowed, to give this one its guarantee.
@@ -239,28 +312,33 @@
         let waited = clock.wall_ms.saturating_sub(work.info.accepted_wall_ms);
         let all = work.info.need.times(u64::from(work.left()));
         let claims = waited >= CLAIM_MS && self.within_guarantee(work.info.team, &all);
-        let borrowers = if claims { self.borrowers() } else { Vec::new() };
-        Stops { urgency: work.info.urgency, team: work.info.team, borrowers }
+        let lent = if claims { self.lent(work.info.team) } else { Lent::default() };
+        Stops { urgency: work.info.urgency, team: work.info.team, lent }
     }
 
-    /// How long stopping the task takes, and the CPU milliseconds lost (in thousandths of CPUs); None if it must not be
-    /// stopped.
-    pub fn loss(&self, binding: &Binding, stops: &Stops, clock: Clock) -> Option<(u64, u64)> {
+    /// What stopping the task costs; None if it must not be stopped.
+    pub fn loss(&self, binding: &Binding, stops: &Stops, clock: Clock) -> Option<Loss> {
         let victim = self.work.get(&binding.job?)?;
-        if !stops.may(victim) {
-            return None;
-        }
+        let info = &victim.info;
         // A gang stops as a whole, and what it has fetched and gathered is lost too: without
         // this, gangs that borrow were stopped again and again before they ran at all.
-        let (all, again_ms) = match victim.info.shape {
-            Shape::Gang => (u64::from(victim.info.tasks), AGAIN_MS),
-            _ => (1, 0),
+        let gang = info.shape == Shape::Gang;
+        let (all, again_ms) = if gang { (u64::from(info.tasks), AGAIN_MS) } else { (1, 0) };
+        let claim = if info.urgency > stops.urgency {
+            None
+        } else {
+            let whole = binding.need.times(all);
+            let room = Room { cpu: whole.cpu, gpu: whole.gpu };
+            if info.team == stops.team || !stops.lent.may_claim(info.team, room) {
+                return None;
+            }
+            Some(Claim { team: info.team, room, whole: gang.then_some(binding.job?) })
         };
         let lost = |ms: u64| binding.need.cpu * (ms + again_ms) * all;
-        if victim.info.checkpoint_ms > 0 && binding.running_since.is_some() {
-            return Some((victim.info.save_ms, lost(victim.info.save_ms)));
+        if info.checkpoint_ms > 0 && binding.running_since.is_some() {
+            return Some(Loss { save_ms: info.save_ms, lost: lost(info.save_ms), claim });
         }
         let since = binding.running_since.or(binding.fetching_since);
-        Some((0, lost(since.map_or(0, |since| clock.now.since(since)))))
+        Some(Loss { save_ms: 0, lost: lost(since.map_or(0, |since| clock.now.since(since))), claim })
     }
 }
--- a/src/coordination/leader/placement/teams.rs
+++ b/src/coordination/leader/placement/teams.rs
@@ -2,26 +2,28 @@
 
 use std::collections::HashMap;
 
+use olivelatch_admission::lent::{Lent, Room};
+
 use crate::coordination::leader::{Leader, Work};
-use crate::ids::{Amount, TeamIx};
-use crate::settings::Team;
+use crate::ids::{Amount, JobIx, TeamIx};
 
 impl Leader {
     /// Which jobs fit into their teams' guarantees together with what is left of the teams'
     /// earlier ones: they need not wait for other teams, or for their own team's later jobs.
     pub fn mark_guaranteed(&mut self) {
-        let mut jobs: Vec<&mut Work> = self.work.values_mut().collect();
-        jobs.sort_by_key(|work| work.info.seq);
+        let mut jobs: Vec<(JobIx, &Work)> = self.work.iter().map(|(ix, work)| (*ix, work)).collect();
+        jobs.sort_by_key(|(_, work)| work.info.seq);
         let mut taken: HashMap<TeamIx, Amount> = HashMap::new();
         let mut some = false;
-        for work in jobs {
+        for (ix, work) in jobs {
             let Some(team) = self.teams.get(&work.info.team) else { continue };
             let all = taken.entry(work.info.team).or_default();
             all.add(&work.info.need.times(u64::from(work.left())));
-            work.guaranteed = all.cpu <= team.guaranteed.cpu && all.gpu <= team.guaranteed.gpu;
-            some |= work.guaranteed;
+            let guaranteed = all.cpu <= team.guaranteed.cpu && all.gpu <= team.guaranteed.gpu;
+            self.standings.at(ix).guaranteed = guaranteed;
+            some |= guaranteed;
         }
-        self.some_guaranteed = some;
+        self.standings.present.guaranteed = some;
     }
 
     fn used_by(&self, team: TeamIx) -> Amount {
@@ -45,12 +47,25 @@
         used.cpu + need.cpu <= settings.guaranteed.cpu && used.gpu + need.gpu <= settings.guaranteed.gpu
     }
 
-    /// Teams that use more than they are guaranteed: what is above is borrowed.
-    pub fn borrowers(&self) -> Vec<TeamIx> {
-        let above = |(team, settings): &(&TeamIx, &Team)| {
-            let used = self.used_by(**team);
-            used.cpu > settings.guaranteed.cpu || used.gpu > settings.guaranteed.gpu
-        };
-        self.teams.iter().filter(above).map(|(team, _)| *team).collect()
+    /// What other teams have borrowed and is not being stopped already.
+    pub fn lent(&self, team: TeamIx) -> Lent<TeamIx, JobIx> {
+        let room = |amount: &Amount| Room { cpu: amount.cpu, gpu: amount.gpu };
+        let mut lent = Lent::default();
+        for (other, settings) in self.teams.iter().filter(|(other, _)| **other != team) {
+            let stopping = self.stopping.get(other).copied().unwrap_or_default();
+            lent.team(*other, room(&self.used_by(*other)), room(&stopping), room(&settings.guaranteed));
+        }
+        lent
+    }
+
+    /// What of each team's use has been told to stop, counted anew.
+    pub fn count_stopping(&mut self) {
+        self.stopping.clear();
+        let halted = self.machines.iter().flat_map(|machine| &machine.bindings).filter(|b| b.halt.is_some());
+        for binding in halted {
+            if let Some(team) = binding.team {
+                self.stopping.entry(team).or_default().add(&binding.need);
+            }
+        }
     }
 }
