A leader behind its events leaves planning and direct starts, and keeps the lead

Past that, every start cost a connection of its own, the plan a fifth of a second at a time; renewals came late, the lead changed every 15 s and each change had 4,700 machines greeted. Workers' silence, which was its own backlog, made the leader resign.

Behind its events a leader plans every 4 s, then 15 s, tries gangs once a second, starts tasks with the answers to reports, greets one machine a step, and does not resign for its workers' silence.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,4 +2,5 @@
 //! proportion to teams and classes, never to jobs or machines. docs/overload.md argues for it.
 
 pub mod lent;
+pub mod pressure;
 pub mod served;
--- a/src/coordination/leader/machines/fleet.rs
+++ b/src/coordination/leader/machines/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use olivelatch_admission::pressure::Level;
+
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::records::{BookingRecord, Key};
 use crate::coordination::budget::Budget;
@@ -69,6 +71,15 @@
 const LIST_EVERY_MS: u64 = 4_000;
 const CATALOG_EVERY_MS: u64 = 60_000;
 const PLAN_EVERY_MS: u64 = 1_000;
+/// Planning is what a leader that is behind its events leaves undone first.
+fn plan_every_ms(pressure: Level) -> u64 {
+    match pressure {
+        Level::Calm => PLAN_EVERY_MS,
+        Level::Busy => 4 * PLAN_EVERY_MS,
+        Level::Overloaded => 15 * PLAN_EVERY_MS,
+    }
+}
+
 const CLOUD_TIMEOUT_MS: u64 = 5_000;
 /// Asks of the fleet are told apart from those of the ledger by this bit.
 const FLEET_ASK: u64 = 1 << 62;
@@ -158,7 +169,7 @@
             fleet.catalog_next = clock.now.plus(CATALOG_EVERY_MS);
             fleet.ask(CloudRequest::Catalog, None, out);
         }
-        if clock.now.since(self.fleet.planned) >= PLAN_EVERY_MS {
+        if clock.now.since(self.fleet.planned) >= plan_every_ms(self.pressure) {
             self.fleet.planned = clock.now;
             self.plan_fleet(clock, mirror);
             self.return_idle(clock);
--- a/src/coordination/leader/machines/orders.rs
+++ b/src/coordination/leader/machines/orders.rs
@@ -1,5 +1,7 @@
 //! Commands to workers: in the response to a report, or straight to the worker.
 
+use olivelatch_admission::pressure::Level;
+
 use crate::coordination::Clock;
 use crate::coordination::leader::{Leader, Life, Run};
 use crate::ids::{Attempt, MachineIx, Session, TaskRef};
@@ -11,6 +13,8 @@
 const DIRECT_PAUSE_MS: u64 = 3000;
 /// Machines greeted by one step of a new leader.
 const GREETINGS: u64 = 16;
+/// And of one that is behind its events.
+const GREETINGS_BEHIND: u64 = 1;
 /// Most commands in one message.
 const MOST_ORDERS: usize = 400;
 
@@ -70,6 +74,7 @@
     pub fn direct(&mut self, clock: Clock, may_run: bool) -> Vec<Direct> {
         let mut messages = Vec::new();
         let mut greetings = 0;
+        let most_greetings = if self.pressure > Level::Calm { GREETINGS_BEHIND } else { GREETINGS };
         for ix in std::mem::take(&mut self.to_tell) {
             let machine = &self.machines[ix.at()];
             if machine.life != Life::Up || machine.direct_open || clock.now < machine.direct_after {
@@ -79,8 +84,13 @@
             if greeting && machine.session.0 == 0 && machine.endpoint.is_empty() {
                 continue;
             }
+            // Starts go with the answer to its next report, which costs no connection.
+            let urgent = greeting || machine.bindings.iter().any(|binding| binding.halt.is_some());
+            if self.pressure > Level::Calm && !urgent {
+                continue;
+            }
             // All at once they would hold up renewals and reports; who reports first needs none.
-            if greeting && greetings >= GREETINGS {
+            if greeting && greetings >= most_greetings {
                 self.to_tell.insert(ix);
                 continue;
             }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
+use olivelatch_admission::pressure::Level;
 use olivelatch_admission::served::Served;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -286,6 +287,8 @@
     searched: Searched,
     /// Waiting gangs are not tried before.
     gangs_next: Millis,
+    /// How far the node is behind its events.
+    pub pressure: Level,
     /// Machines that should hear from us without waiting for their report.
     pub to_tell: BTreeSet<MachineIx>,
 }
@@ -346,6 +349,7 @@
             status_next: Millis::default(),
             searched: Searched::default(),
             gangs_next: Millis::default(),
+            pressure: Level::Calm,
             to_tell: BTreeSet::new(),
         };
         for team in &settings.teams {
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashSet};
 
+use olivelatch_admission::pressure::Level;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -22,6 +23,8 @@
 const SWEPT: usize = 4;
 /// Gangs that wait are tried that often: more often nothing has changed for them.
 const GANGS_EVERY_MS: u64 = 150;
+/// And by a leader that is behind its events.
+const GANGS_SELDOM_MS: u64 = 1_000;
 
 /// What keeps a task off a machine. Placement starts it where there is nothing; explain counts what there is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -221,7 +224,8 @@
             if clock.now < self.gangs_next {
                 return;
             }
-            self.gangs_next = clock.now.plus(GANGS_EVERY_MS);
+            let every = if self.pressure > Level::Calm { GANGS_SELDOM_MS } else { GANGS_EVERY_MS };
+            self.gangs_next = clock.now.plus(every);
             self.place_gangs(clock);
         } else if !self.kept.is_empty() {
             self.keep_scarce(&Waits::default());
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -6,6 +6,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use olivelatch_admission::pressure::{Level, Pressure};
+
 use crate::bookkeeping::jobs::End;
 use crate::bookkeeping::mirror::{Mirror, Seen};
 use crate::coordination::graphs::GraphDesk;
@@ -70,6 +72,8 @@
     started: Millis,
     /// Times that this node began to lead.
     takeovers: u64,
+    /// How far it is behind its events.
+    pressure: Pressure,
 }
 
 impl Node {
@@ -90,6 +94,7 @@
             operators: Operators::new(&operators, clock.now),
             started: clock.now,
             takeovers: 0,
+            pressure: Pressure::default(),
             leader: None,
             taking_over: None,
             directs: HashMap::new(),
@@ -123,6 +128,16 @@
         self.leader.as_ref()
     }
 
+    /// A worker's event is looked at that waited so long; what is left undone follows from it (docs/overload.md).
+    pub fn waited(&mut self, now: Millis, wait_ms: u64) {
+        if self.pressure.waited(now.0, wait_ms) {
+            log::info!(event = "pressure", level:? = self.pressure.level(); "pressure: {:?}", self.pressure.level());
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.pressure = self.pressure.level();
+        }
+    }
+
     /// Takes one event in and does what is due.
     pub fn handle(&mut self, clock: Clock, input: Input) -> Vec<Output> {
         let mut out = self.take(clock, input);
@@ -233,7 +248,9 @@
     /// its lease while every worker's lease runs out.
     fn consider_resigning(&mut self, clock: Clock, out: &mut Vec<Output>) {
         let Some(leader) = &self.leader else { return };
-        if self.others.is_empty() || clock.now.since(leader.acquired) < SETTLE_MS {
+        // Who is behind its events has not looked at what its workers say: their silence is its own.
+        let behind = self.pressure.level() > Level::Calm;
+        if behind || self.others.is_empty() || clock.now.since(leader.acquired) < SETTLE_MS {
             return;
         }
         let (all, silent) = leader.silent_workers(clock.now);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -124,7 +124,8 @@
     fn run(&mut self) -> io::Result<()> {
         let capacity = NonZeroUsize::new(EVENTS).unwrap_or(NonZeroUsize::MIN);
         let mut events = Events::with_capacity(capacity);
-        let mut later: VecDeque<Event> = VecDeque::new();
+        // Each with the time since when it waits.
+        let mut later: VecDeque<(Millis, Event)> = VecDeque::new();
         let mut ticked = Millis::default();
         loop {
             let now = self.common.now();
@@ -137,19 +138,22 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
+            let told = self.common.now();
             for event in events.iter() {
                 if self.can_wait(event.key) {
-                    later.push_back(event);
+                    later.push_back((told, event));
                 } else {
                     self.event(event);
                 }
             }
             self.drain();
-            for event in later.drain(..later.len().min(TURN)) {
+            let waited = later.front().map_or(0, |(since, _)| self.common.now().since(*since));
+            for (_, event) in later.drain(..later.len().min(TURN)) {
                 self.event(event);
             }
             self.drain();
             let now = self.common.now();
+            self.node().waited(now, waited);
             if now.since(ticked) >= tick_ms {
                 ticked = now;
                 let started = self.timings.start();
