--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -227,6 +227,8 @@
     /// Tasks bound to machines, and machines looked at to fill them or to steal from.
     pub bound: u64,
     pub looked_at: u64,
+    /// Searches for a place for a gang, over all machines that fit it.
+    pub searches: u64,
     /// Changes asked of the state service.
     pub changes: u64,
     /// Machines greeted, and most of them by one step.
--- a/src/coordination/leader/placement/gangs.rs
+++ b/src/coordination/leader/placement/gangs.rs
@@ -74,6 +74,7 @@
     fn place_gang(&mut self, rank: Rank, tasks: &[u32], holds: bool, clock: Clock) -> bool {
         let count = tasks.len();
         // Room that is free may be dearer than room to be made: an image has to be fetched.
+        self.counters.searches += 2;
         let free = self.slots(rank.job, count, Way::Free, clock);
         // Waiting for others' ends is for those that may stop nobody.
         let halted = self.slots(rank.job, count, Way::Halt, clock);
@@ -88,14 +89,17 @@
             }
             // Who holds machines already waits for their room, not for still others.
             (_, None) if holds => {}
-            (_, None) => match self.slots(rank.job, count, Way::Drain, clock) {
-                Some((_, machines)) => self.make_room(rank, &machines, Way::Drain, clock),
-                None => {
-                    let Some(work) = self.work.get(&rank.job) else { return true };
-                    let grown = self.room_grown(work);
-                    self.searched.found_nothing(work, count, grown, clock.now);
+            (_, None) => {
+                self.counters.searches += 1;
+                match self.slots(rank.job, count, Way::Drain, clock) {
+                    Some((_, machines)) => self.make_room(rank, &machines, Way::Drain, clock),
+                    None => {
+                        let Some(work) = self.work.get(&rank.job) else { return true };
+                        let grown = self.room_grown(work);
+                        self.searched.found_nothing(work, count, grown, clock.now);
+                    }
                 }
-            },
+            }
         }
         false
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -518,6 +518,7 @@
                     ("lost", c.lost_machines),
                     ("bound", c.bound),
                     ("looked", c.looked_at),
+                    ("searches", c.searches),
                     ("changes", c.changes),
                     ("greeted", c.greeted),
                     ("greeted_at_once", c.greeted_at_once),
