--- a/src/coordination/leader/placement/overload.rs
+++ b/src/coordination/leader/placement/overload.rs
@@ -40,7 +40,7 @@
         let claims: Vec<Claim<Party>> =
             waiting.keys().map(|party| Claim { party: *party, weight: self.weight_of(party.0) }).collect();
         let mut behind = self.served.behind(&claims, FLOOR);
-        behind.retain(|party| waiting.get(party) == Some(&true));
+        behind.retain(|party| self.tunables.overload.order && waiting.get(party) == Some(&true));
         (self.standings.present.late, self.standings.present.behind) = (!late.is_empty(), !behind.is_empty());
         for (ix, work) in &self.work {
             let standing = self.standings.at(*ix);
@@ -57,8 +57,8 @@
         for (ix, work) in &self.work {
             let left = left_work(work);
             if self.hopeless(work, clock) {
-                late.insert(*ix, left);
-            } else if !work.info.together() {
+                late.insert(*ix, if self.tunables.overload.order { left } else { 0 });
+            } else if self.tunables.overload.order && !work.info.together() {
                 arrays.push((work.info.urgency, left, *ix, self.last_chance_ms(work, clock)));
             }
         }
@@ -103,7 +103,8 @@
     /// large ones that came only a little earlier, so that more of them end.
     pub fn gang_order(&self) -> Vec<Rank> {
         let mut ranks: Vec<Rank> = self.gangs.iter().copied().collect();
-        let Some(work_ahead) = self.too_many_gangs(&ranks) else { return ranks };
+        let too_many = self.too_many_gangs(&ranks).filter(|_| self.tunables.overload.order);
+        let Some(work_ahead) = too_many else { return ranks };
         log::debug!("gangs are too many: {work_ahead} ms ahead of the next");
         ranks.sort_by_cached_key(|rank| {
             let work = self.work.get(&rank.job);
--- a/src/coordination/leader/placement/scarce.rs
+++ b/src/coordination/leader/placement/scarce.rs
@@ -39,6 +39,9 @@
 
     /// Keeps queued tasks off as many machines as gangs wait for, those that run empty first.
     pub fn keep_scarce(&mut self, waits: &Waits) {
+        if !self.tunables.overload.order {
+            return;
+        }
         let mut kept = Vec::new();
         for (kind, waiting) in waits.iter().filter(|(kind, _)| self.others_take_queued(**kind, waits)) {
             let mut able: Vec<(bool, u64, MachineIx)> = Vec::new();
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -130,6 +130,9 @@
 
     /// A worker's event is looked at that waited so long; what is left undone follows from it (docs/overload.md).
     pub fn waited(&mut self, now: Millis, wait_ms: u64) {
+        if !self.tunables.overload.pressure {
+            return;
+        }
         if self.pressure.waited(now.0, wait_ms) {
             log::info!(event = "pressure", level:? = self.pressure.level(); "pressure: {:?}", self.pressure.level());
         }
--- a/src/tunables.rs
+++ b/src/tunables.rs
@@ -46,6 +46,8 @@
     pub drain_s: f64,
     /// Part of the time to a job's aim within which its tasks should all have started.
     pub haste: f64,
+    /// What changes while there is more than can be served (docs/overload.md).
+    pub overload: OverloadTunables,
     /// The operators' interface (docs/client.md).
     pub operators: OperatorTunables,
     /// Graphs (docs/flows.md).
@@ -53,6 +55,23 @@
     pub log: LogTunables,
 }
 
+/// On in `run`, as it does the bench no harm. Claims of lent room are bounded in any case.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OverloadTunables {
+    /// Jobs that cannot meet their aims are put off with a floor for each party, small gangs go first when there are too
+    /// many, machines of scarce types are kept for gangs.
+    pub order: bool,
+    /// A controller that is behind its events leaves planning and direct starts.
+    pub pressure: bool,
+}
+
+impl Default for OverloadTunables {
+    fn default() -> Self {
+        OverloadTunables { order: true, pressure: true }
+    }
+}
+
 /// Off, its paths do not exist and nothing is recorded for it.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -135,6 +154,7 @@
             idle_s: 45.0,
             drain_s: 40.0,
             haste: 0.5,
+            overload: OverloadTunables::default(),
             operators: OperatorTunables::default(),
             graphs: GraphTunables::default(),
             log: LogTunables::default(),
