One piece each for types that fit, waiting work and last aims; sums that cannot overflow

Need: reading the change again. Which types fit a job, whether it waits and its class's last aim stood there two or three times; the page of a level promised refusals that do not exist; work left of absurd estimates could overflow a sum.

Change: kinds_for, Work::waits and last_aim_ms serve all; sets instead of a list looked through for each kept machine; unused code and a wrong comment out; saturating sums. Behaviour as before for any real amount.

--- a/crates/admission/src/lent.rs
+++ b/crates/admission/src/lent.rs
@@ -46,10 +46,6 @@
         }
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.above.is_empty()
-    }
-
     /// May so much of the team's use be stopped now?
     pub fn may_claim(&self, team: T, room: Room) -> bool {
         self.above.get(&team).is_some_and(|above| room.covered_by(*above))
--- a/crates/admission/src/pressure.rs
+++ b/crates/admission/src/pressure.rs
@@ -10,7 +10,7 @@
     Calm,
     /// Planning is done less often, and commands that can wait go with the answers to reports.
     Busy,
-    /// Users' new work is refused too, with a time to come back.
+    /// Planning is done hardly at all.
     Overloaded,
 }
 
@@ -45,7 +45,6 @@
             return false;
         }
         let least = self.least.take().unwrap_or(0);
-        // One turn that took longer than the whole interval says how long it took, not that events queue up.
         self.began = now;
         self.judge(least)
     }
--- a/crates/admission/src/served.rs
+++ b/crates/admission/src/served.rs
@@ -53,14 +53,15 @@
     }
 
     pub fn given(&self, party: K) -> u64 {
-        self.past.iter().chain([&self.present]).filter_map(|step| step.get(&party)).sum()
+        let steps = self.past.iter().chain([&self.present]).filter_map(|step| step.get(&party));
+        steps.fold(0, |all, given| all.saturating_add(*given))
     }
 
     /// Who of those that wait got less than `floor` (0 to 1) of its weight's part of what all of them got. Where nothing
     /// was given to any, nobody is behind another.
     pub fn behind(&self, waiting: &[Claim<K>], floor: f64) -> BTreeSet<K> {
         let weights: u64 = waiting.iter().map(|claim| claim.weight).sum();
-        let given: u64 = waiting.iter().map(|claim| self.given(claim.party)).sum();
+        let given: u64 = waiting.iter().fold(0, |all, claim| all.saturating_add(self.given(claim.party)));
         let owed = |claim: &Claim<K>| floor * given as f64 * claim.weight as f64 / weights.max(1) as f64;
         let below = waiting.iter().filter(|claim| (self.given(claim.party) as f64) < owed(claim));
         below.map(|claim| claim.party).collect()
--- a/src/coordination/leader/machines/plan.rs
+++ b/src/coordination/leader/machines/plan.rs
@@ -123,8 +123,12 @@
     pub fn hopeless(&self, work: &Work, clock: Clock) -> bool {
         let age = clock.wall_ms.saturating_sub(work.info.accepted_wall_ms);
         let due = work.info.due_wall_ms.is_some_and(|due| due < clock.wall_ms);
-        let last = self.aims.get(&work.info.class).and_then(|aims| aims.last());
-        due || last.is_some_and(|last| *last < age)
+        due || self.last_aim_ms(work).is_some_and(|last| last < age)
+    }
+
+    /// Within what time of its acceptance a job of the class should be done at the latest.
+    pub fn last_aim_ms(&self, work: &Work) -> Option<u64> {
+        self.aims.get(&work.info.class)?.last().copied()
     }
 
     /// CPU milliseconds that a task still needs, as far as can be told.
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -197,6 +197,11 @@
         if self.runs > 0 { self.run_ms / u64::from(self.runs) } else { self.info.guess_ms.max(1000) }
     }
 
+    /// Some of its tasks are neither done nor out.
+    pub fn waits(&self) -> bool {
+        u64::from(self.left()) > self.out.len() as u64
+    }
+
     pub fn left(&self) -> u32 {
         self.info.tasks - self.done.count()
     }
--- a/src/coordination/leader/placement/overload.rs
+++ b/src/coordination/leader/placement/overload.rs
@@ -34,7 +34,7 @@
         self.served.at(clock.now.0);
         let late = self.late_jobs(clock);
         let mut waiting: BTreeMap<Party, bool> = BTreeMap::new();
-        for (ix, work) in self.work.iter().filter(|(_, work)| waits(work)) {
+        for (ix, work) in self.work.iter().filter(|(_, work)| work.waits()) {
             *waiting.entry((work.info.team, work.info.class)).or_default() |= late.contains_key(ix);
         }
         let claims: Vec<Claim<Party>> =
@@ -66,7 +66,7 @@
         let cpus = self.cpus_for_arrays().max(1);
         let mut ahead = 0;
         for (_, left, ix, chance_ms) in arrays {
-            if (ahead + left) * 1000 / cpus > chance_ms {
+            if left.saturating_add(ahead).saturating_mul(1000) / cpus > chance_ms {
                 late.insert(ix, left);
             } else {
                 ahead += left;
@@ -77,8 +77,8 @@
 
     /// From now until the job's deadline, or the last aim of its class.
     fn last_chance_ms(&self, work: &Work, clock: Clock) -> u64 {
-        let aim = self.aims.get(&work.info.class).and_then(|aims| aims.last()).copied();
-        let until = work.info.due_wall_ms.or(aim.map(|aim| work.info.accepted_wall_ms + aim));
+        let until =
+            work.info.due_wall_ms.or(self.last_aim_ms(work).map(|aim| work.info.accepted_wall_ms + aim));
         until.map_or(u64::MAX, |until| until.saturating_sub(clock.wall_ms))
     }
 
@@ -99,8 +99,8 @@
     }
 
     /// The order in which waiting gangs are tried: by rank, unless they are so many for the machines that fit them that
-    /// one that came now would not even start before its aims had passed. Then those of parties that are behind come first, and small ones before
-    /// large ones that came only a little earlier, so that more of them end.
+    /// one that came now would not even start before its aims had passed. Then those of parties that are behind come
+    /// first, and small ones before large ones that came only a little earlier, so that more of them end.
     pub fn gang_order(&self) -> Vec<Rank> {
         let mut ranks: Vec<Rank> = self.gangs.iter().copied().collect();
         let too_many = self.too_many_gangs(&ranks).filter(|_| self.tunables.overload.order);
@@ -108,8 +108,10 @@
         log::debug!("gangs are too many: {work_ahead} ms ahead of the next");
         ranks.sort_by_cached_key(|rank| {
             let work = self.work.get(&rank.job);
-            let due =
-                work.map_or(0, |work| work.info.accepted_wall_ms + u64::from(work.left()) * work.length_ms());
+            let due = work.map_or(0, |work| {
+                let own = u64::from(work.left()).saturating_mul(work.length_ms());
+                work.info.accepted_wall_ms.saturating_add(own)
+            });
             (!self.standings.of(rank.job).behind, rank.urgency(), due, *rank)
         });
         ranks
@@ -119,15 +121,14 @@
     fn too_many_gangs(&self, ranks: &[Rank]) -> Option<u64> {
         let mut ahead: BTreeMap<KindIx, (u64, u64)> = BTreeMap::new();
         for work in ranks.iter().filter_map(|rank| self.work.get(&rank.job)) {
-            let aim =
-                self.aims.get(&work.info.class).and_then(|aims| aims.last().copied()).unwrap_or(NO_AIM_MS);
-            let kinds: Vec<KindIx> =
-                self.kinds.keys().copied().filter(|kind| self.fits_kind(work, *kind)).collect();
+            let aim = self.last_aim_ms(work).unwrap_or(NO_AIM_MS);
+            let own = (missing(work).len() as u64).saturating_mul(work.length_ms());
+            let kinds = self.kinds_for(work);
             for kind in &kinds {
                 let slots =
                     self.kinds.get(kind).map_or(0, |kind| work.info.need.count_in(&kind.size).min(1_000));
                 let (busy, least) = ahead.entry(*kind).or_insert((0, u64::MAX));
-                *busy += missing(work).len() as u64 * work.length_ms() / slots.max(1) / kinds.len() as u64;
+                *busy = busy.saturating_add(own / slots.max(1) / kinds.len() as u64);
                 *least = (*least).min(aim);
             }
         }
@@ -140,11 +141,6 @@
     }
 }
 
-/// Some of its tasks are neither done nor out.
-fn waits(work: &Work) -> bool {
-    u64::from(work.left()) > work.out.len() as u64
-}
-
 /// CPU milliseconds that it still needs, in thousandths of CPUs.
 fn left_work(work: &Work) -> u64 {
     work.info.need.cpu.saturating_mul(u64::from(work.left())).saturating_mul(work.length_ms()) / 1000
--- a/src/coordination/leader/placement/scarce.rs
+++ b/src/coordination/leader/placement/scarce.rs
@@ -5,7 +5,7 @@
 //! hold some and wait until they have run empty: with six times the gangs more than a quarter of the large machines stood
 //! held and half empty. As many of them as gangs wait for take no queued tasks, and those queued there go elsewhere.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::coordination::leader::{Leader, Work};
 use crate::ids::{Amount, KindIx, MachineIx};
@@ -23,9 +23,7 @@
 impl Leader {
     /// A gang that may stop nobody has found no room.
     pub fn waits_for(&self, work: &Work, tasks: usize, waits: &mut Waits) {
-        let fits: Vec<KindIx> =
-            self.kinds.keys().copied().filter(|kind| self.fits_kind(work, *kind)).collect();
-        for kind in fits {
+        for kind in self.kinds_for(work) {
             let waiting = waits.entry(kind).or_default();
             waiting.tasks += tasks as u64;
             let (need, more) = (&mut waiting.need, &work.info.need);
@@ -42,7 +40,7 @@
         if !self.tunables.overload.order {
             return;
         }
-        let mut kept = Vec::new();
+        let mut kept = BTreeSet::new();
         for (kind, waiting) in waits.iter().filter(|(kind, _)| self.others_take_queued(**kind, waits)) {
             let mut able: Vec<(bool, u64, MachineIx)> = Vec::new();
             for ix in self.roster.open_in(|other, _| other == *kind) {
@@ -56,8 +54,8 @@
             let most = if self.bound_to(waits) { able.len() / 2 } else { able.len() };
             kept.extend(able.into_iter().take((waiting.tasks as usize).min(most)).map(|(.., ix)| ix));
         }
-        let before: Vec<MachineIx> = self.kept.iter().copied().collect();
-        for ix in before.into_iter().filter(|ix| !kept.contains(ix)) {
+        let before: Vec<MachineIx> = self.kept.difference(&kept).copied().collect();
+        for ix in before {
             self.set_kept(ix, false);
         }
         for ix in kept {
@@ -99,11 +97,7 @@
 
     /// Does queued work wait that fits only types that gangs wait for too?
     fn bound_to(&self, waits: &Waits) -> bool {
-        let elsewhere = |work: &Work| {
-            self.kinds.keys().any(|kind| !waits.contains_key(kind) && self.fits_kind(work, *kind))
-        };
-        self.work.values().any(|work| {
-            !work.info.together() && u64::from(work.left()) > work.out.len() as u64 && !elsewhere(work)
-        })
+        let elsewhere = |work: &Work| self.kinds_for(work).iter().any(|kind| !waits.contains_key(kind));
+        self.work.values().any(|work| !work.info.together() && work.waits() && !elsewhere(work))
     }
 }
--- a/src/coordination/leader/placement/search.rs
+++ b/src/coordination/leader/placement/search.rs
@@ -227,6 +227,11 @@
         self.roster.grown(|kind| self.fits_kind(work, kind))
     }
 
+    /// The types that its tasks fit.
+    pub fn kinds_for(&self, work: &Work) -> Vec<KindIx> {
+        self.kinds.keys().copied().filter(|kind| self.fits_kind(work, *kind)).collect()
+    }
+
     pub fn fits_kind(&self, work: &Work, kind: KindIx) -> bool {
         work.info.allows_kind(kind)
             && self.kinds.get(&kind).is_none_or(|kind| work.info.need.fits(&kind.size))
