A claim says itself whether it is still lent

Need: the same call with the same three fields stood in three places.

Change: Claim::is_lent; the sum of what goes ahead saturates too.

--- a/src/coordination/leader/placement/overload.rs
+++ b/src/coordination/leader/placement/overload.rs
@@ -69,7 +69,7 @@
             if left.saturating_add(ahead).saturating_mul(1000) / cpus > chance_ms {
                 late.insert(ix, left);
             } else {
-                ahead += left;
+                ahead = left.saturating_add(ahead);
             }
         }
         late
--- a/src/coordination/leader/placement/search.rs
+++ b/src/coordination/leader/placement/search.rs
@@ -94,7 +94,7 @@
 impl Stops {
     /// Whatever is claimed of lent room is there only once.
     pub fn claim(&mut self, loss: &Loss) -> bool {
-        loss.claim.is_none_or(|claim| self.lent.claim(claim.team, claim.room, claim.whole))
+        loss.claim.is_none_or(|claim| claim.is_lent(&mut self.lent))
     }
 }
 
@@ -106,6 +106,13 @@
     whole: Option<JobIx>,
 }
 
+impl Claim {
+    /// Takes it off what is lent; false if so much is not lent any more.
+    fn is_lent(&self, lent: &mut Lent<TeamIx, JobIx>) -> bool {
+        lent.claim(self.team, self.room, self.whole)
+    }
+}
+
 /// What stopping a task costs.
 pub struct Loss {
     /// How long it takes to save, in milliseconds.
@@ -207,7 +214,7 @@
                 break;
             }
             let mut rest = lent.clone();
-            if !claims.iter().all(|claim| rest.claim(claim.team, claim.room, claim.whole)) {
+            if !claims.iter().all(|claim| claim.is_lent(&mut rest)) {
                 continue;
             }
             let used = in_zone.entry(self.machines[ix.at()].zone).or_default();
@@ -300,7 +307,7 @@
             if work.info.need.fits(&room) {
                 break;
             }
-            if !loss.claim.is_none_or(|claim| lent.claim(claim.team, claim.room, claim.whole)) {
+            if !loss.claim.is_none_or(|claim| claim.is_lent(&mut lent)) {
                 continue;
             }
             claims.extend(loss.claim);
