A process that is back at once: its former lead ends, its former words are nobody's; polls leave requests to writes

Cause: a leader back before its lease left the fleet without a lead until the lease ended (4 s); a hung connection of a former process stayed open at the others for good, and answers to its questions could reach the next one.

--- /dev/null
+++ b/src/bookkeeping/accounts.rs
@@ -0,0 +1,74 @@
+//! How many jobs of each class of each team were accepted, begun, done and told, by the records.
+//!
+//! Every controller counts the same, from what it reads of the records; only `told` is its own: users that it answered
+//! with `done`. A process that starts counts the jobs that still have a record, and what ends from then on: what was over
+//! and cleared before is not known to it, as an end does not tell whose it was. Memory: one entry a party, bounded.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{ClassIx, TeamIx};
+
+/// Parties counted apart; classes are named by users, so that there may be any number.
+const MOST_PARTIES: usize = 256;
+
+/// A class of a team, by its place in the accounts. The last one stands for all beyond the bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PartyIx(u16);
+
+/// Jobs of one party.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Account {
+    pub accepted: u64,
+    /// At least one task was, or may have been, on a machine.
+    pub started: u64,
+    pub done: u64,
+    pub withdrawn: u64,
+    /// Users that this controller told of the end with `done`, once a job.
+    pub told: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct Accounts {
+    places: BTreeMap<(TeamIx, ClassIx), PartyIx>,
+    rows: Vec<(Option<(TeamIx, ClassIx)>, Account)>,
+}
+
+impl Accounts {
+    pub fn party(&mut self, team: TeamIx, class: ClassIx) -> PartyIx {
+        let next = self.rows.len();
+        *self.places.entry((team, class)).or_insert_with(|| {
+            if next <= MOST_PARTIES {
+                self.rows.push(((next < MOST_PARTIES).then_some((team, class)), Account::default()));
+            }
+            PartyIx(next.min(MOST_PARTIES) as u16)
+        })
+    }
+
+    /// The account of a party; None for one of other accounts.
+    pub fn of(&mut self, party: PartyIx) -> Option<&mut Account> {
+        self.rows.get_mut(usize::from(party.0)).map(|(_, account)| account)
+    }
+
+    /// Team and class with their accounts; neither of all beyond the bound.
+    pub fn rows(&self) -> impl Iterator<Item = (Option<(TeamIx, ClassIx)>, Account)> + '_ {
+        self.rows.iter().copied()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn parties_beyond_the_bound_share_one_account() {
+        let mut accounts = Accounts::default();
+        for class in 0..1000 {
+            let party = accounts.party(TeamIx(1), ClassIx(class));
+            assert_eq!(accounts.party(TeamIx(1), ClassIx(class)), party);
+            accounts.of(party).expect("an account").accepted += 1;
+        }
+        assert_eq!(accounts.rows().count(), MOST_PARTIES + 1);
+        assert_eq!(accounts.rows().map(|(_, account)| account.accepted).sum::<u64>(), 1000);
+        assert_eq!(accounts.rows().filter(|(party, _)| party.is_none()).count(), 1);
+    }
+}
--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -83,11 +83,13 @@
     pub finished: Bits,
     /// How it ended, and a time of day at which its user was not yet told.
     pub end: Option<(End, u64)>,
+    /// A task of it was, or may have been, on a machine.
+    pub started: bool,
 }
 
 impl Job {
     pub fn new(info: JobInfo) -> Job {
-        Job { finished: Bits::new(info.tasks), info: Arc::new(info), end: None }
+        Job { finished: Bits::new(info.tasks), info: Arc::new(info), end: None, started: false }
     }
 }
 
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,5 +1,6 @@
 //! The state service as this controller last saw it.
 
+use super::accounts::{Account, Accounts, PartyIx};
 use std::collections::{BTreeMap, HashMap};
 use std::ops::Bound;
 
@@ -10,7 +11,7 @@
     BookingRecord, EndDetail, EndRecord, FinishedRecord, JobRecord, Key, LeaderRecord, LogRecord,
     MachineRecord,
 };
-use crate::ids::{ClassIx, JobId, JobIx, Revision, TeamIx};
+use crate::ids::{ClassIx, JobId, JobIx, LeaseId, Revision, TeamIx};
 use crate::protocol::cloud::CatalogEntry;
 use crate::protocol::state::Pair;
 
@@ -27,6 +28,7 @@
 pub struct LeaderSeen {
     pub node: String,
     pub revision: Revision,
+    pub lease: Option<LeaseId>,
 }
 
 #[derive(Debug, Default)]
@@ -46,7 +48,8 @@
     jobs: Vec<Option<Box<Job>>>,
     /// In the order of their ids, for lists.
     index: BTreeMap<JobId, JobIx>,
-    ended: BTreeMap<JobId, (End, u64)>,
+    ended: BTreeMap<JobId, Ended>,
+    pub accounts: Accounts,
     details: BTreeMap<JobId, Detail>,
     /// Versions of the keys that the leader rewrites.
     stamps: HashMap<String, Revision>,
@@ -57,6 +60,15 @@
     pub graphs: Graphs,
 }
 
+/// How and when a job ended; what its user was told counts for its party, if that is known.
+#[derive(Debug, Clone, Copy)]
+struct Ended {
+    at: u64,
+    party: Option<PartyIx>,
+    end: End,
+    told: bool,
+}
+
 /// What an end tells of its job, if the operators' interface was on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Detail {
@@ -96,12 +108,12 @@
     }
 
     pub fn end_of(&self, id: JobId) -> Option<End> {
-        self.ended.get(&id).map(|ended| ended.0)
+        self.ended.get(&id).map(|ended| ended.end)
     }
 
     /// How and when a job ended, and what is kept of it.
     pub fn ended(&self, id: JobId) -> Option<(End, u64, Option<Detail>)> {
-        self.ended.get(&id).map(|(end, at)| (*end, *at, self.details.get(&id).copied()))
+        self.ended.get(&id).map(|ended| (ended.end, ended.at, self.details.get(&id).copied()))
     }
 
     /// Live and ended jobs in the order of their ids, from behind `after` on.
@@ -192,7 +204,8 @@
         match key {
             Key::Leader => {
                 let record: LeaderRecord = serde_json::from_str(value).ok()?;
-                self.leader = Some(LeaderSeen { node: record.node, revision: stamp });
+                self.leader =
+                    Some(LeaderSeen { node: record.node, revision: stamp, lease: record.lease.map(LeaseId) });
                 Some(Seen::Leader)
             }
             Key::Job(id) => {
@@ -201,7 +214,7 @@
             }
             Key::End(id) => {
                 let record: EndRecord = serde_json::from_str(value).ok()?;
-                self.ended.insert(*id, (record.end(), record.at));
+                self.account_end(*id, record.end(), record.at);
                 if let Some(detail) = &record.detail {
                     let detail = self.detail(detail);
                     self.details.insert(*id, detail);
@@ -321,7 +334,8 @@
         for early in self.early.remove(&id).unwrap_or_default() {
             early.add_to(&mut job.finished);
         }
-        job.end = self.ended.get(&id).copied();
+        job.end = self.ended.get(&id).map(|ended| (ended.end, ended.at));
+        self.account_job(&mut job);
         let ix = JobIx(self.jobs.len() as u32);
         self.index.insert(job.info.id, ix);
         self.jobs.push(Some(Box::new(job)));
@@ -343,6 +357,57 @@
         }
     }
 
+    /// A job that was not known before, perhaps after its end.
+    fn account_job(&mut self, job: &mut Job) {
+        let id = job.info.id;
+        let party = self.accounts.party(job.info.team, job.info.class);
+        let ended = self.ended.get_mut(&id);
+        let known = ended.as_ref().is_some_and(|ended| ended.party.is_some());
+        let Some(account) = self.accounts.of(party).filter(|_| !known) else { return };
+        account.accepted += 1;
+        job.started = !job.finished.is_empty() || self.told.contains_key(&id);
+        if let Some(ended) = ended {
+            ended.party = Some(party);
+            job.started |= ended.end == End::Done;
+            count_end(account, ended.end);
+        }
+        account.started += u64::from(job.started);
+    }
+
+    fn account_start(&mut self, id: JobId) {
+        let Some(job) = self.job_mut(id).filter(|job| !job.started) else { return };
+        job.started = true;
+        let (team, class) = (job.info.team, job.info.class);
+        let party = self.accounts.party(team, class);
+        if let Some(account) = self.accounts.of(party) {
+            account.started += 1;
+        }
+    }
+
+    fn account_end(&mut self, id: JobId, end: End, at: u64) {
+        if end == End::Done {
+            self.account_start(id);
+        }
+        let job = self.find_job(id).map(|job| (job.info.team, job.info.class));
+        let party = job.map(|(team, class)| self.accounts.party(team, class));
+        if let Some(account) = party.and_then(|party| self.accounts.of(party)) {
+            count_end(account, end);
+        }
+        self.ended.insert(id, Ended { at, party, end, told: false });
+    }
+
+    /// A user was told that the job is done: counted once.
+    pub fn told_done(&mut self, id: JobId) {
+        let Some(ended) = self.ended.get_mut(&id).filter(|ended| ended.end == End::Done && !ended.told)
+        else {
+            return;
+        };
+        ended.told = true;
+        if let Some(account) = ended.party.and_then(|party| self.accounts.of(party)) {
+            account.told += 1;
+        }
+    }
+
     fn job_mut(&mut self, id: JobId) -> Option<&mut Job> {
         let ix = self.index.get(&id)?;
         self.jobs.get_mut(ix.at())?.as_deref_mut()
@@ -360,6 +425,7 @@
     fn tell(&mut self, record: &LogRecord) {
         for (task, _) in record.starts() {
             *self.told.entry(task.job).or_default().entry(task.task).or_default() += 1;
+            self.account_start(task.job);
         }
     }
 
@@ -405,6 +471,13 @@
     }
 }
 
+fn count_end(account: &mut Account, end: End) {
+    match end {
+        End::Done => account.done += 1,
+        End::Withdrawn => account.withdrawn += 1,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,5 +1,6 @@
 //! What is remembered: jobs, machines, and the durable records behind them.
 
+pub mod accounts;
 pub mod bits;
 pub mod flow;
 pub mod graph_records;
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -94,6 +94,9 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
     pub node: String,
+    /// What the key hangs on; versions before did not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<u64>,
 }
 
 /// A job as accepted, and the time of day then.
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -39,6 +39,8 @@
     rest_until: Millis,
     /// Since when nobody leads, as far as the mirror shows.
     vacant_since: Option<Millis>,
+    /// This process ended the lead of the process that bore its name before: others come first.
+    former_ended: Option<Millis>,
 }
 
 /// What a reply changed.
@@ -60,6 +62,7 @@
             last_ask: Millis::default(),
             rest_until: Millis::default(),
             vacant_since: None,
+            former_ended: None,
         }
     }
 
@@ -117,10 +120,15 @@
         }
         match self.phase {
             Phase::Follower => {
+                if self.end_former(clock, mirror, ledger, out) {
+                    return;
+                }
                 let vacant = self.vacant_since.map_or(0, |since| clock.now.since(since) + 1);
+                let former = self.former_ended.is_some_and(|at| clock.now.since(at) < REST_MS);
                 let wait = match (favoured, clock.now < self.rest_until) {
                     (true, _) => 0,
                     (false, true) => REST_MS,
+                    (false, false) if former => AFTER_FORMER_MS,
                     (false, false) => FAVOUR_MS,
                 };
                 // Whoever lost has to see the winner first: with many nodes under a low limit,
@@ -142,6 +150,27 @@
         }
     }
 
+    /// The record names this node, but this process does not lead: it is of a former process of that name, or of a try
+    /// whose answer was lost. Nobody acts on it any more, and the lead would stay vacant until its lease ends.
+    fn end_former(
+        &mut self,
+        clock: Clock,
+        mirror: &Mirror,
+        ledger: &mut Ledger,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let ours = mirror.leader.as_ref().filter(|seen| seen.node == self.node);
+        let Some(lease) = ours.and_then(|seen| seen.lease) else { return false };
+        // Looked at since the last word was sent: what that one ended is not ended twice.
+        let looked = ledger.fresh.is_some_and(|fresh| fresh > self.last_ask);
+        if looked && clock.now.since(self.last_ask) >= RETRY_MS {
+            log::info!("ends the lead of a former process of this name");
+            self.former_ended = Some(clock.now);
+            self.send(clock, StateRequest::Revoke { lease }, ledger, out);
+        }
+        true
+    }
+
     fn send(&mut self, clock: Clock, request: StateRequest, ledger: &mut Ledger, out: &mut Vec<Output>) {
         self.asking = true;
         self.last_ask = clock.now;
@@ -159,7 +188,7 @@
         match (self.phase, &answered.request, answered.reply) {
             (Phase::Granting, _, StateReply::Granted { lease }) => {
                 self.phase = Phase::Acquiring { lease };
-                let record = LeaderRecord { node: self.node.clone() };
+                let record = LeaderRecord { node: self.node.clone(), lease: Some(lease.0) };
                 let request = StateRequest::Txn {
                     guards: vec![Guard { key: LEADER.into(), stamp: Revision(0) }],
                     changes: vec![Change::Put {
@@ -202,6 +231,8 @@
 
 /// The node that the last leader favoured gets this much of a start.
 const FAVOUR_MS: u64 = 200;
+/// A process that is back at once leaves the lead to others for so long: what ended it may end it again.
+const AFTER_FORMER_MS: u64 = 1_000;
 /// A node that resigned leaves it to others for so long.
 const REST_MS: u64 = 5_000;
 /// Between two tries to become leader.
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -185,12 +185,14 @@
     }
 
     /// Reads pages until the mirror is whole, then polls for changes.
-    /// `due_ms` is how long a poll may wait when nobody waits for it.
+    /// `due_ms` is how long a poll may wait when nobody waits for it. `kept` requests are left for writes: polls of
+    /// users took all there were on a follower, and submissions waited seconds behind them.
     pub fn keep_fresh(
         &mut self,
         clock: Clock,
         wanted: bool,
         due_ms: u64,
+        kept: usize,
         mirror: &Mirror,
         out: &mut Vec<Output>,
     ) {
@@ -206,7 +208,9 @@
         if self.polling.is_some() || clock.now.since(self.last_poll) < gap {
             return;
         }
-        if self.reads.take(clock.now, 1) {
+        // Under a limit that small nothing can be left.
+        let kept = kept.min((self.reads.rate() as usize).saturating_sub(1));
+        if self.reads.available(clock.now) > kept && self.reads.take(clock.now, 1) {
             self.last_poll = clock.now;
             let request = StateRequest::Changes { prefix: PREFIX.into(), after: mirror.revision };
             self.polling = Some(self.ask(clock, Purpose::Poll, request, out));
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -1,5 +1,6 @@
 //! One controller: events in, actions out.
 
+mod accounts;
 mod graphs;
 mod operators;
 
@@ -8,6 +9,7 @@
 
 use olivelatch_admission::pressure::{Level, Pressure};
 
+use crate::bookkeeping::accounts::Account;
 use crate::bookkeeping::jobs::End;
 use crate::bookkeeping::mirror::{Mirror, Seen};
 use crate::coordination::graphs::GraphDesk;
@@ -74,6 +76,9 @@
     takeovers: u64,
     /// How far it is behind its events.
     pressure: Pressure,
+    /// When accounts are next shown, and what was shown last.
+    accounts_next: Millis,
+    accounts_shown: Vec<Account>,
 }
 
 impl Node {
@@ -91,10 +96,12 @@
             mirror: Mirror::default(),
             users: Users::new(operators.enabled, graphs),
             graph_desk: GraphDesk::default(),
-            operators: Operators::new(&operators, clock.now),
+            operators: Operators::new(&operators, seed, clock.now),
             started: clock.now,
             takeovers: 0,
             pressure: Pressure::default(),
+            accounts_next: clock.now,
+            accounts_shown: Vec::new(),
             leader: None,
             taking_over: None,
             directs: HashMap::new(),
@@ -167,6 +174,9 @@
             Input::Operator { call, request } => self.operator(clock, call, request, &mut out),
             Input::Graph { call, request } => self.graph(clock, call, request, &mut out),
         }
+        for id in self.users.take_told() {
+            self.mirror.told_done(id);
+        }
         out
     }
 
@@ -181,7 +191,8 @@
         let asked =
             self.users.wants_barrier() || self.operators.wants_barrier() || self.graph_desk.wants_barrier();
         let wanted = asked || self.taking_over.is_some() || favoured;
-        self.ledger.keep_fresh(clock, wanted, due, &self.mirror, out);
+        let kept = usize::from(self.users.writes_wait()) + usize::from(self.leader.is_some());
+        self.ledger.keep_fresh(clock, wanted, due, kept, &self.mirror, out);
         self.users.expire(clock, self.ledger.reachable(clock.now), out);
         if self.operators.enabled {
             self.operators_overdue(clock, out);
@@ -196,6 +207,7 @@
         self.alone_since = self.alone_since.or(Some(clock.now)).filter(|_| alone);
         if clock.now >= self.look_around_next {
             self.consider_resigning(clock, out);
+            self.show_accounts(clock);
         }
         self.lead(clock, out);
         outputs
--- a/src/coordination/node/operators.rs
+++ b/src/coordination/node/operators.rs
@@ -280,6 +280,7 @@
             requests_held: self.users.held() as u64,
             takeovers: self.takeovers,
             uptime_s: units(clock.now.since(self.started)),
+            accounts: self.accounts(),
             work: self.leader.as_ref().map(|leader| leader.figures(&self.mirror.names)),
         }
     }
--- a/src/coordination/operators.rs
+++ b/src/coordination/operators.rs
@@ -56,12 +56,14 @@
 }
 
 impl Operators {
-    pub fn new(tunables: &OperatorTunables, now: Millis) -> Operators {
+    /// Questions are numbered from `first` on, which differs from process to process: the answer to one that a former
+    /// process of this name asked is nobody's.
+    pub fn new(tunables: &OperatorTunables, first: u64, now: Millis) -> Operators {
         Operators {
             enabled: tunables.enabled,
             waiting: Vec::new(),
             relayed: BTreeMap::new(),
-            next: 0,
+            next: first,
             budget: Budget::new(tunables.explains_per_s, now),
         }
     }
@@ -91,7 +93,7 @@
         let Some(question) = request.question().filter(|_| self.relayed.len() < MOST_WAITING) else {
             return false;
         };
-        self.next += 1;
+        self.next = self.next.wrapping_add(1);
         self.relayed.insert(self.next, Relayed { call, request, until: now.plus(RELAY_MS) });
         out.push(Output::Mesh {
             node: leader.into(),
@@ -166,7 +168,7 @@
     #[test]
     fn questions_are_grouped_bounded_and_given_up() {
         let tunables = OperatorTunables { enabled: true, ..OperatorTunables::default() };
-        let mut operators = Operators::new(&tunables, Millis(0));
+        let mut operators = Operators::new(&tunables, 7, Millis(0));
         for at in 0..10 {
             assert!(operators.wait(Millis(5), Asker::Call(CallId(at)), explain(at % 2)));
         }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -57,6 +57,8 @@
     waiting: Vec<Waiting>,
     queued: Vec<(Write, Millis)>,
     writing: Vec<(Write, Millis)>,
+    /// Jobs whose users were told that they are done, since that was last asked.
+    told: Vec<JobId>,
 }
 
 /// Tells how many tasks of a job run, for display.
@@ -71,6 +73,31 @@
         !self.waiting.is_empty()
     }
 
+    /// Ends never change, so the mirror's word is enough.
+    fn final_answer(&mut self, request: &UserRequest, mirror: &Mirror) -> Option<Answer> {
+        let id = match request {
+            UserRequest::Submit { id, .. } | UserRequest::Poll { id } | UserRequest::Abort { id } => *id,
+        };
+        let status = match mirror.end_of(id)? {
+            End::Done => JobStatus::Done,
+            End::Withdrawn => JobStatus::Withdrawn,
+        };
+        if status == JobStatus::Done {
+            self.told.push(id);
+        }
+        Some(status_answer(200, id, status, None))
+    }
+
+    /// Whom it told of jobs that are done, since it was last asked.
+    pub fn take_told(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.told)
+    }
+
+    /// Something is to be written as soon as the limits allow.
+    pub fn writes_wait(&self) -> bool {
+        !self.queued.is_empty() && self.writing.is_empty()
+    }
+
     /// Requests that wait for an answer and have not been sent to the state service.
     pub fn held(&self) -> usize {
         self.waiting.len() + self.queued.len()
@@ -86,7 +113,7 @@
         mirror: &Mirror,
         settings: &Settings,
     ) -> Option<Answer> {
-        if let Some(answer) = final_answer(&request, mirror) {
+        if let Some(answer) = self.final_answer(&request, mirror) {
             return Some(answer);
         }
         if !ledger.loaded || !ledger.reachable(clock.now) || self.held() >= MOST_WAITING {
@@ -138,7 +165,7 @@
         out: &mut Vec<Output>,
     ) {
         let call = waiting.call;
-        if let Some(answer) = final_answer(&waiting.request, mirror) {
+        if let Some(answer) = self.final_answer(&waiting.request, mirror) {
             out.push(Output::Answer { call, answer });
             return;
         }
@@ -373,18 +400,6 @@
     }
 }
 
-/// Ends never change, so the mirror's word is enough.
-fn final_answer(request: &UserRequest, mirror: &Mirror) -> Option<Answer> {
-    let id = match request {
-        UserRequest::Submit { id, .. } | UserRequest::Poll { id } | UserRequest::Abort { id } => *id,
-    };
-    let status = match mirror.end_of(id)? {
-        End::Done => JobStatus::Done,
-        End::Withdrawn => JobStatus::Withdrawn,
-    };
-    Some(status_answer(200, id, status, None))
-}
-
 fn status_of(id: JobId, mirror: &Mirror, running: Running<'_>) -> Option<Answer> {
     let Some(job) = mirror.find_job(id) else {
         // A node of a graph that waits for others.
--- a/src/protocol/operators.rs
+++ b/src/protocol/operators.rs
@@ -427,10 +427,26 @@
     pub requests_held: u64,
     pub takeovers: u64,
     pub uptime_s: f64,
+    /// Jobs by class and team; `told` is this controller's own, the rest is the same on all.
+    #[serde(default)]
+    pub accounts: Vec<AccountView>,
     /// Of the leader alone.
     pub work: Option<LeaderStatus>,
 }
 
+/// Jobs of a class that a team owns, by the records (docs/operations.md).
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct AccountView {
+    pub team: String,
+    pub class: String,
+    pub accepted: u64,
+    pub started: u64,
+    pub done: u64,
+    pub withdrawn: u64,
+    /// Users told of the end with `done` by this controller.
+    pub told: u64,
+}
+
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct LeaderStatus {
     pub machines_up: u64,
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -33,6 +33,8 @@
 /// The part of the settings' memory that one answer may take: it is held three times while
 /// it is read. Pages of the state service and the cloud's lists are far smaller.
 const ANSWER_SHARE: f64 = 0.1;
+/// Idle connections that give way at once when sockets run short.
+const GIVE_WAY: usize = 64;
 /// Room for an answer's head and chunks.
 const HEAD_ROOM: usize = 1024 * 1024;
 
@@ -59,12 +61,17 @@
     state: SocketAddr,
     cloud: SocketAddr,
     most_answer: usize,
+    /// Sockets that the whole process may have, and has beside these.
+    most: usize,
+    pub others: usize,
 }
 
 impl Clients {
-    /// On a machine with so much memory.
-    pub fn new(state: SocketAddr, cloud: SocketAddr, mem_mb: f64) -> Clients {
+    /// On a machine with so much memory, in a process with `most` sockets.
+    pub fn new(state: SocketAddr, cloud: SocketAddr, mem_mb: f64, most: usize) -> Clients {
         Clients {
+            most,
+            others: 0,
             open: HashMap::new(),
             pools: HashMap::new(),
             asks: HashMap::new(),
@@ -121,8 +128,32 @@
         }
     }
 
+    /// No socket is left in the process.
+    pub fn short(&self) -> bool {
+        self.open.len() + self.others >= self.most
+    }
+
+    /// Connections to workers that wait for their next call give way, the longest idle first. A new leader greets every
+    /// machine while all of them report to it: with half as many again there were not sockets for both, and users were
+    /// refused.
+    pub fn give_way(&mut self, common: &mut Common) {
+        let idle = |client: &Client| client.ask.is_none() && matches!(client.target, Target::Worker(_));
+        let idle = self.open.iter().filter(|(_, client)| idle(client));
+        let mut idle: Vec<(Millis, usize)> = idle.map(|(key, client)| (client.active, *key)).collect();
+        idle.sort_unstable();
+        for (_, key) in idle.into_iter().take(GIVE_WAY) {
+            self.close(common, key);
+        }
+    }
+
     /// Hands waiting calls to idle or new connections.
     fn advance(&mut self, common: &mut Common, target: Target) {
+        let worker = matches!(target, Target::Worker(_));
+        if worker && self.short() && self.pools.get(&target).is_some_and(|pool| pool.open == 0) {
+            self.give_way(common);
+        }
+        // The state service and the cloud have theirs whatever happens.
+        let short = worker && self.short();
         loop {
             let addr = self.addr(target);
             let Some(pool) = self.pools.get_mut(&target) else {
@@ -136,6 +167,10 @@
             }
             let key = match pool.idle.pop() {
                 Some(key) => key,
+                None if short && pool.open == 0 => {
+                    self.finish(common, ask, Outcome::NotSent);
+                    continue;
+                }
                 None if pool.open < most_connections(target) => {
                     let key = common.key();
                     match Stream::connect(&common.gate, addr, key) {
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -114,6 +114,7 @@
             counter.encode(encoder.encode_descriptor(name, help, None, MetricType::Counter)?)?;
         }
         self.encode_answers(&mut encoder)?;
+        self.encode_accounts(&mut encoder)?;
         self.encode_teams(&mut encoder)?;
         self.encode_events(&mut encoder)
     }
@@ -131,6 +132,26 @@
         Ok(())
     }
 
+    fn encode_accounts(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), Error> {
+        let help =
+            "Jobs by team, class and what became of them, by the records; told: by this controller alone";
+        let mut family = encoder.encode_descriptor("olivelatch_jobs", help, None, MetricType::Counter)?;
+        for row in &self.status.accounts {
+            let counts = [
+                ("accepted", row.accepted),
+                ("started", row.started),
+                ("done", row.done),
+                ("withdrawn", row.withdrawn),
+                ("told", row.told),
+            ];
+            for (state, count) in counts {
+                let labels = [("team", row.team.as_str()), ("class", row.class.as_str()), ("state", state)];
+                family.encode_family(&labels)?.encode_counter::<NoLabelSet, _, u64>(&count, None)?;
+            }
+        }
+        Ok(())
+    }
+
     fn encode_teams(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), Error> {
         let Some(work) = &self.status.work else { return Ok(()) };
         let help = "CPUs that a team's tasks take";
@@ -157,13 +178,24 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::protocol::operators::AccountView;
 
     /// A follower shows no leader's figures; each line is one that a scraper takes.
     #[test]
     fn a_scrape_has_names_help_and_an_end() {
         let spread = Spread { sum_s: 0.5, count: 3, buckets: vec![(0.001, 2), (f64::INFINITY, 1)] };
         let scrape = |work| Scrape {
-            status: NodeStatus { ready: true, work, ..NodeStatus::default() },
+            status: NodeStatus {
+                ready: true,
+                work,
+                accounts: vec![AccountView {
+                    team: "core".into(),
+                    class: "work".into(),
+                    done: 5,
+                    ..AccountView::default()
+                }],
+                ..NodeStatus::default()
+            },
             answers: BTreeMap::from([(200, 4), (503, 1)]),
             events: vec![("report", spread.clone())],
             connections: 7,
@@ -173,6 +205,7 @@
             "olivelatch_ready 1.0",
             "olivelatch_starts_total 9",
             "olivelatch_answers_total{status=\"503\"} 1",
+            "olivelatch_jobs_total{team=\"core\",class=\"work\",state=\"done\"} 5",
             "olivelatch_event_seconds_bucket{le=\"+Inf\",kind=\"report\"} 3",
             "# EOF",
         ] {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -15,6 +15,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use polling::{Event, Events};
+use rand::TryRng;
+use rand::rngs::SysRng;
 
 use crate::coordination::node::Node;
 use crate::coordination::{CallId, Clock, Input, Output};
@@ -38,6 +40,8 @@
 const TICK_MS: u64 = 50;
 const QUIET_TICK_MS: u64 = 200;
 const EVENTS: usize = 256;
+/// Sockets beside all that is counted: two listeners, the poller, standard streams, what a person's shell opens.
+const OWN_SOCKETS: usize = 20;
 /// So many workers are served before others' events are looked for again.
 const TURN: usize = 16;
 
@@ -94,15 +98,16 @@
         Common { gate: gate.clone(), next_key: FIRST_KEY, start: Instant::now(), inputs: VecDeque::new() };
     let front = listen(&gate, settings.front, FRONT)?;
     let mesh_listener = listen(&gate, settings.mesh, MESH)?;
-    // Sockets for our own calls are kept free.
+    // Sockets for our own calls are kept free; connections to workers take more of them while there are any.
     let spare = 100 + settings.quota.max_connections / 10;
+    let sockets = settings.quota.max_connections.saturating_sub(OWN_SOCKETS);
     let most = settings.quota.max_connections.saturating_sub(spare).max(50);
     let clock = common.clock();
-    let seed = clock.wall_ms ^ seed_of(&settings.node);
+    let seed = own_seed()?;
     log::info!("serving users and workers on {}, controllers on {}", settings.front, settings.mesh);
     let mut runtime = Runtime {
         servers: Servers::new(most, settings.quota.mem_mb),
-        clients: Clients::new(settings.state, settings.cloud, settings.quota.mem_mb),
+        clients: Clients::new(settings.state, settings.cloud, settings.quota.mem_mb, sockets),
         mesh: Mesh::new(&settings),
         timings: Timings::new(tunables.operators.enabled),
         answers: BTreeMap::new(),
@@ -114,10 +119,10 @@
     runtime.run()
 }
 
-/// Nodes that start at the same moment should not act in step.
-fn seed_of(name: &str) -> u64 {
-    name.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+/// Nodes that start at the same moment should not act in step, and a process that is back at once must not take itself for
+/// the one before: neither its name nor the time of day tells them apart.
+fn own_seed() -> io::Result<u64> {
+    SysRng.try_next_u64().map_err(io::Error::other)
 }
 
 impl Runtime {
@@ -221,6 +226,10 @@
 
     fn accept_front(&mut self) {
         while let Ok((socket, _)) = self.front.source().accept() {
+            self.count_sockets();
+            if self.clients.short() {
+                self.clients.give_way(&mut self.common);
+            }
             self.servers.accept(&mut self.common, socket);
         }
         if self.front.want(true, false).is_err() {
@@ -228,6 +237,11 @@
         }
     }
 
+    /// What the process holds beside connections to workers.
+    fn count_sockets(&mut self) {
+        self.clients.others = self.servers.count_open() as usize + self.mesh.count_open();
+    }
+
     fn accept_mesh(&mut self) {
         while let Ok((socket, _)) = self.mesh_listener.source().accept() {
             self.mesh.accept(&mut self.common, socket);
@@ -290,6 +304,7 @@
                 self.clients.ask_cloud(common, ask, request.to_call(), timeout_ms);
             }
             Output::Orders { ask, endpoint, call, timeout_ms, .. } => {
+                self.clients.others = self.servers.count_open() as usize + self.mesh.count_open();
                 self.clients.ask_worker(common, ask, &endpoint, call, timeout_ms);
             }
             Output::Mesh { node, message } => self.mesh.send(common, &node, &message),
