Jobs that fail wherever they are tried, idle-time work, and room for arrays that may stop others

Change: a job that fails on more machines than run it is on trial, one task at a time, not planned, not queued, in nobody's turn; machines are sick only by jobs that succeeded elsewhere, or by three; work without any aim leaves room for what others asked for lately, but gets a quarter; arrays that are more urgent, or within a guarantee, stop a few long tasks that lose little; a machine with nothing to start steals.

--- a/src/coordination/leader/explain.rs
+++ b/src/coordination/leader/explain.rs
@@ -111,6 +111,12 @@
     /// Tasks that wait before they are tried again, and when the first is.
     fn delays(&self, ix: JobIx, asked: impl Fn(u32) -> bool, clock: Clock) -> (u32, u64) {
         let (mut count, mut next) = (0, None);
+        if let Some((work, trial)) = self.work.get(&ix).and_then(|work| Some((work, work.trial?))) {
+            let waits = |task: &u32| asked(*task) && !work.out.contains_key(task);
+            let queued = usize::from(trial.queued);
+            let waiting = work.done.missing().filter(waits).count().saturating_sub(queued);
+            return (waiting as u32, trial.next.since(clock.now));
+        }
         for (at, tasks) in &self.delayed {
             let ours = tasks.iter().filter(|(job, task)| *job == ix && asked(*task)).count() as u32;
             if ours > 0 {
--- a/src/coordination/leader/machines/mod.rs
+++ b/src/coordination/leader/machines/mod.rs
@@ -1,5 +1,6 @@
 //! The machines: what they report and are told, when they count as gone, which are rented.
 
+pub mod faults;
 pub mod fleet;
 pub mod orders;
 pub mod plan;
--- a/src/coordination/leader/machines/plan.rs
+++ b/src/coordination/leader/machines/plan.rs
@@ -76,6 +76,8 @@
         }
         self.mark_guaranteed();
         self.mark_late(clock);
+        self.leave_room(clock);
+        self.claim_for_arrays(clock);
         let mut plan = Plan::new(self, clock);
         plan.lay_out();
         let (used, wanted) = (plan.used, plan.wanted);
@@ -271,7 +273,8 @@
             }
         }
         self.use_booked(work, |zone, kind| need.take(zone, work.info.need.count_in(&kind.size)) > 0);
-        while need.missing > 0 {
+        // What fails wherever it is tried is worth no new machines.
+        while need.missing > 0 && !work.at_fault() {
             let Some(offer) = leader.best_offer(work, self.clock, |zone| need.room(zone) > 0) else { return };
             let Some(kind) = leader.kinds.get(&offer.kind) else { return };
             need.take(offer.zone, work.info.need.count_in(&kind.size).max(1));
@@ -315,7 +318,7 @@
 
     fn array(&mut self, work: &Work, left_ms: u64) {
         let leader = self.leader;
-        let waiting = u64::from(work.left()).saturating_sub(work.out.len() as u64);
+        let waiting = work.waiting().min(leader.headroom_for(work));
         // Machines that run its tasks go on being needed.
         for (ix, _) in work.out.values().flatten() {
             self.used.insert(*ix);
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -4,8 +4,8 @@
 
 use crate::bookkeeping::mirror::Mirror;
 use crate::coordination::Clock;
-use crate::coordination::leader::placement::dispatch::Hindrance;
-use crate::coordination::leader::{Binding, Leader, Life, Run, Work};
+use crate::coordination::leader::machines::faults::patience;
+use crate::coordination::leader::{Binding, Leader, Life, Run};
 use crate::ids::{Attempt, JobIx, MachineIx, Session, TaskRef};
 use crate::protocol::operators::EventWord;
 use crate::protocol::users::Shape;
@@ -13,14 +13,9 @@
 use olivelatch_graph::Tries;
 
 /// Before a task that failed, or was refused, is tried again.
-const AFTER_ERROR_MS: u64 = 1000;
+pub const AFTER_ERROR_MS: u64 = 1000;
 const AFTER_REFUSAL_MS: u64 = 700;
 const AFTER_UNKNOWN_MS: u64 = 3000;
-/// Different jobs must have failed on a machine before it is thought to be sick.
-const SICK_JOBS: usize = 2;
-/// A job that failed on so many machines is at fault itself.
-const BAD_JOB_MACHINES: usize = 3;
-
 /// A machine on which runs take so many times their jobs' mean is replaced.
 const SLOW: f64 = 2.0;
 /// Runs that a job, and a machine, must have finished before it is compared.
@@ -30,12 +25,6 @@
 const SHORTEST_FETCH_MS: u64 = 2_000;
 const FETCH_WEIGHT: f64 = 0.1;
 
-/// A job that fails everywhere is tried ever more seldom: so many times the usual wait.
-fn patience(work: &Work) -> u64 {
-    let machines = work.failed_on.len() + work.forgiven;
-    1 << machines.saturating_sub(BAD_JOB_MACHINES - 1).min(5)
-}
-
 /// How to answer a report.
 #[derive(Debug)]
 pub enum Verdict {
@@ -216,6 +205,7 @@
             need: Default::default(),
             team: None,
             pool: None,
+            idle_time: false,
             over_limit: false,
             run: Run::Seen,
             part: None,
@@ -271,7 +261,7 @@
         let tried = self.node_failed(ix, &binding, cause);
         let delay = match cause {
             ExitCause::Error => {
-                self.failed(ix, &binding);
+                self.failed(ix, &binding, clock);
                 AFTER_ERROR_MS
             }
             ExitCause::NoRoom | ExitCause::Busy => AFTER_REFUSAL_MS,
@@ -285,60 +275,6 @@
         self.gang_member_left(&binding);
     }
 
-    /// A job that failed on every machine it might use now gets them back, ever more seldom: with few machines,
-    /// one failure on each would otherwise keep it waiting for good.
-    pub fn forgive(&mut self, clock: Clock) {
-        let due = |work: &Work| !work.failed_on.is_empty() && clock.now >= work.forgive_next;
-        let stuck = self.work.iter().filter(|(_, work)| due(work) && self.failed_everywhere(work));
-        for ix in stuck.map(|(ix, _)| *ix).collect::<Vec<JobIx>>() {
-            let Some(work) = self.work.get_mut(&ix) else { continue };
-            let id = work.info.id;
-            log::info!(event = "forgiven", job:% = id; "{id} failed on all it may use: tried there again");
-            work.forgiven += work.failed_on.len();
-            work.failed_on.clear();
-            work.forgive_next = clock.now.plus(AFTER_ERROR_MS * patience(work));
-        }
-    }
-
-    /// Of the machines that could run its tasks, each has failed one. Parked ones take no queued tasks.
-    fn failed_everywhere(&self, work: &Work) -> bool {
-        let mut failed = false;
-        for ix in self.roster.open() {
-            let taken = work.info.together() || self.roster.takes(*ix);
-            match self.unfit(*ix, work) {
-                None if taken => return false,
-                Some(Hindrance::FailedHere) => failed = true,
-                _ => {}
-            }
-        }
-        failed
-    }
-
-    fn failed(&mut self, ix: MachineIx, binding: &Binding) {
-        let machine = self.machines[ix.at()].name.as_str();
-        log::info!(event = "failed", task:% = binding.task, machine; "{} failed on {machine}", binding.task);
-        let Some(work) = binding.job.and_then(|job| self.work.get_mut(&job)) else {
-            return;
-        };
-        work.failed_on.insert(ix);
-        if work.failed_on.len() + work.forgiven >= BAD_JOB_MACHINES {
-            // Its own fault: machines that failed nothing else are good again.
-            let id = work.info.id;
-            for machine in &mut self.machines {
-                machine.errors.remove(&id);
-                machine.sick = machine.errors.len() >= SICK_JOBS;
-            }
-            return;
-        }
-        let machine = &mut self.machines[ix.at()];
-        machine.errors.insert(binding.task.job);
-        if machine.errors.len() >= SICK_JOBS && !machine.sick {
-            log::info!(event = "sick", machine = machine.name.as_str(); "machine {} taken for sick", machine.name);
-            machine.sick = true;
-            self.spread_queues(ix);
-        }
-    }
-
     fn finished(&mut self, ix: MachineIx, binding: &Binding, clock: Clock) {
         let machine = &mut self.machines[ix.at()];
         machine.errors.clear();
@@ -348,8 +284,7 @@
         let Some(work) = self.work.get_mut(&job) else {
             return;
         };
-        work.failed_on.clear();
-        work.forgiven = 0;
+        let on_trial = work.succeeded();
         if let Some(since) = binding.running_since {
             if work.runs >= COMPARED_RUNS {
                 let mean = (work.run_ms / u64::from(work.runs)).max(1);
@@ -366,6 +301,9 @@
             work.run_ms += clock.now.since(since);
         }
         self.task_done(job, binding.task, clock);
+        if on_trial {
+            self.trial_over(job);
+        }
     }
 
     fn task_done(&mut self, ix: JobIx, task: TaskRef, clock: Clock) {
--- a/src/coordination/leader/machines/roster.rs
+++ b/src/coordination/leader/machines/roster.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// A limit that kept tasks in queues has been raised: all that wait for it are asked.
+    pub fn unlimited(&mut self) {
+        self.to_fill.append(&mut self.limited);
+    }
+
     pub fn limited(&mut self, ix: MachineIx) {
         self.limited.insert(ix);
     }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
+use olivelatch_admission::headroom::Headroom;
 use olivelatch_admission::pressure::Level;
 use olivelatch_admission::served::Served;
 use rand::SeedableRng;
@@ -32,9 +33,11 @@
 use crate::settings::{Settings, Team};
 use crate::tunables::Tunables;
 use journal::{FirstRun, Journal};
+use machines::faults::Trial;
 use machines::fleet::Fleet;
 use machines::roster::Roster;
 use placement::gangs;
+use placement::idle_time;
 use placement::overload::{self, Party};
 use placement::policy::{Rank, Standings};
 use placement::queues::Queue;
@@ -69,6 +72,8 @@
     pub need: Amount,
     pub team: Option<TeamIx>,
     pub pool: Option<PoolIx>,
+    /// Nobody waits for it: it may use only so much of the fleet.
+    pub idle_time: bool,
     /// It had run longer than its node allows when it was told to stop.
     pub over_limit: bool,
     pub run: Run,
@@ -185,6 +190,8 @@
     pub forgiven: usize,
     /// Not allowed back before.
     pub forgive_next: Millis,
+    /// It fails wherever it is tried.
+    pub trial: Option<Trial>,
     pub ending: bool,
     pub first_run: FirstRun,
     /// Of a graph's node.
@@ -197,9 +204,15 @@
         if self.runs > 0 { self.run_ms / u64::from(self.runs) } else { self.info.guess_ms.max(1000) }
     }
 
-    /// Some of its tasks are neither done nor out.
+    /// Tasks that are neither done nor out. Of a job on trial only one is waited for.
+    pub fn waiting(&self) -> u64 {
+        let waiting = u64::from(self.left()).saturating_sub(self.out.len() as u64);
+        if self.trial.is_some() { waiting.min(1) } else { waiting }
+    }
+
+    /// Some of its tasks are neither done nor out, and it is not on trial.
     pub fn waits(&self) -> bool {
-        u64::from(self.left()) > self.out.len() as u64
+        self.trial.is_none() && self.waiting() > 0
     }
 
     pub fn left(&self) -> u32 {
@@ -261,6 +274,11 @@
     pub kinds: BTreeMap<KindIx, Kind>,
     /// Within what time a class's jobs should be done, by the settings' objectives.
     pub aims: HashMap<ClassIx, Vec<u64>>,
+    /// Classes whose jobs somebody waits for, by any of the settings' objectives.
+    aimed: BTreeSet<ClassIx>,
+    /// What idle-time work uses, and may use, in thousandths of CPUs.
+    idle_time_cpu: u64,
+    headroom: Headroom,
     /// Ready tasks that no present machine may take.
     pub backlog: Queue,
     /// Tasks that wait before they are tried again.
@@ -335,6 +353,9 @@
             served: Served::new(overload::WINDOW_MS, clock.now.0),
             kinds: BTreeMap::new(),
             aims: HashMap::new(),
+            aimed: BTreeSet::new(),
+            idle_time_cpu: 0,
+            headroom: idle_time::headroom(),
             backlog: Queue::default(),
             delayed: BTreeMap::new(),
             held: BTreeSet::new(),
@@ -363,6 +384,9 @@
             leader.teams.insert(mirror.names.teams.intern(&team.name), team.clone());
         }
         for objective in &settings.objectives {
+            if let Some(class) = &objective.jobclass {
+                leader.aimed.insert(mirror.names.classes.intern(class));
+            }
             if let ("finished", Some(class), Some(within)) =
                 (objective.kind.as_str(), &objective.jobclass, objective.within_s)
             {
@@ -457,6 +481,7 @@
             failed_on: HashSet::new(),
             forgiven: 0,
             forgive_next: Millis::default(),
+            trial: None,
             ending: false,
             first_run: self.journal.first_run(),
             node: None,
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -40,6 +40,8 @@
     ZoneRule,
     TeamLimit,
     PoolFull,
+    /// Nobody waits for it, and what is free is left to work that is waited for.
+    IdleTime,
 }
 
 impl Leader {
@@ -78,7 +80,10 @@
         if !self.within_quota(work.info.team, &work.info.need) {
             return Some(Hindrance::TeamLimit);
         }
-        (!self.within_pool(work, 1)).then_some(Hindrance::PoolFull)
+        if !self.within_pool(work, 1) {
+            return Some(Hindrance::PoolFull);
+        }
+        (!self.within_headroom(work, 1)).then_some(Hindrance::IdleTime)
     }
 
     /// The zone rules, judged against every place where a task of the job may still be.
@@ -246,6 +251,7 @@
     pub fn sweep(&mut self, clock: Clock) {
         self.spill(clock);
         self.forgive(clock);
+        self.try_again(clock);
         self.enforce_limits(clock);
         let waiting = |ix: &MachineIx| !self.machines[ix.at()].shared.is_empty();
         if self.roster.takers().iter().any(waiting) {
@@ -277,7 +283,7 @@
             // Dedicated first (source): those tasks wait for this machine alone.
             while self.bind_from(ix, true) || self.bind_from(ix, false) {}
             let machine = &self.machines[ix.at()];
-            let idle = machine.shared.is_empty() && machine.free().cpu > 0;
+            let idle = machine.free().cpu > 0 && self.has_nothing_to_start(ix);
             if !idle || clock.now < machine.next_steal || steals >= STEALS_A_ROUND {
                 return;
             }
@@ -288,12 +294,20 @@
         }
     }
 
+    /// Its shared queue is empty, or limits of teams and the like keep all in it from starting: without the latter,
+    /// machines stood free beside queues full of work, because a guest's tasks that had to wait lay in their own.
+    fn has_nothing_to_start(&self, ix: MachineIx) -> bool {
+        let machine = &self.machines[ix.at()];
+        let limited = || matches!(self.first_turn(&machine.shared, ix, &machine.free()), (None, true));
+        machine.shared.is_empty() || limited()
+    }
+
     /// May a task of this job start now with this much room? None: but for its team's limit.
     fn may_start(&self, ix: MachineIx, free: &Amount, job: JobIx) -> Option<bool> {
         let Some(work) = self.work.get(&job) else { return Some(false) };
         match self.hindrance(ix, free, work) {
             None => Some(true),
-            Some(Hindrance::TeamLimit | Hindrance::PoolFull) => None,
+            Some(Hindrance::TeamLimit | Hindrance::PoolFull | Hindrance::IdleTime) => None,
             Some(_) => Some(false),
         }
     }
@@ -389,6 +403,7 @@
             need: info.need,
             team: Some(info.team),
             pool: info.pool(),
+            idle_time: self.is_idle_time(&info),
             over_limit: false,
             run: Run::Planned,
             part: None,
@@ -401,6 +416,9 @@
             gone_by: None,
         };
         let start = Start { machine: ix, task: binding.task, attempt };
+        if let Some(trial) = self.work.get_mut(&job).and_then(|work| work.trial.as_mut()) {
+            trial.queued = false;
+        }
         self.started(job);
         self.journal.note(start.task.job, EventWord::Bound, Some(ix), start.task.task, 1);
         self.attach(ix, binding);
--- a/src/coordination/leader/placement/gangs.rs
+++ b/src/coordination/leader/placement/gangs.rs
@@ -76,6 +76,10 @@
         // Room that is free may be dearer than room to be made: an image has to be fetched.
         self.counters.searches += 2;
         let free = self.slots(rank.job, count, Way::Free, clock);
+        if free.is_none() && self.work.get(&rank.job).is_some_and(Work::at_fault) {
+            // It has failed wherever it was tried: nobody is stopped and no machine held for it.
+            return true;
+        }
         // Waiting for others' ends is for those that may stop nobody.
         let halted = self.slots(rank.job, count, Way::Halt, clock);
         match (free, halted) {
--- a/src/coordination/leader/placement/overload.rs
+++ b/src/coordination/leader/placement/overload.rs
@@ -58,7 +58,7 @@
             let left = left_work(work);
             if self.hopeless(work, clock) {
                 late.insert(*ix, if self.tunables.overload.order { left } else { 0 });
-            } else if self.tunables.overload.order && !work.info.together() {
+            } else if self.tunables.overload.order && !work.info.together() && work.trial.is_none() {
                 arrays.push((work.info.urgency, left, *ix, self.last_chance_ms(work, clock)));
             }
         }
--- a/src/coordination/leader/placement/search.rs
+++ b/src/coordination/leader/placement/search.rs
@@ -16,7 +16,7 @@
 pub type Slots = (u64, Vec<MachineIx>);
 
 /// A team waits so long for room before it claims back what it has lent.
-const CLAIM_MS: u64 = 2_000;
+pub const CLAIM_MS: u64 = 2_000;
 /// About what a gang takes to be placed, fetch and gather once more.
 const AGAIN_MS: u64 = 10_000;
 /// Until a halt has reached a worker and its effect is known.
@@ -92,6 +92,10 @@
 }
 
 impl Stops {
+    pub fn new(work: &Work, lent: Lent<TeamIx, JobIx>) -> Stops {
+        Stops { urgency: work.info.urgency, team: work.info.team, lent }
+    }
+
     /// Whatever is claimed of lent room is there only once.
     pub fn claim(&mut self, loss: &Loss) -> bool {
         loss.claim.is_none_or(|claim| claim.is_lent(&mut self.lent))
@@ -325,7 +329,7 @@
         let all = work.info.need.times(u64::from(work.left()));
         let claims = waited >= CLAIM_MS && self.within_guarantee(work.info.team, &all);
         let lent = if claims { self.lent(work.info.team) } else { Lent::default() };
-        Stops { urgency: work.info.urgency, team: work.info.team, lent }
+        Stops::new(work, lent)
     }
 
     /// What stopping the task costs; None if it must not be stopped.
--- a/src/coordination/leader/placement/teams.rs
+++ b/src/coordination/leader/placement/teams.rs
@@ -16,6 +16,11 @@
         let mut taken: HashMap<TeamIx, Amount> = HashMap::new();
         let mut some = false;
         for (ix, work) in jobs {
+            // What fails wherever it is tried takes nothing of its team's guarantee from good work.
+            if work.trial.is_some() {
+                self.standings.at(ix).guaranteed = false;
+                continue;
+            }
             let Some(team) = self.teams.get(&work.info.team) else { continue };
             let all = taken.entry(work.info.team).or_default();
             all.add(&work.info.need.times(u64::from(work.left())));
@@ -58,6 +63,13 @@
         lent
     }
 
+    /// What of all teams' use has been told to stop, when that was last counted.
+    pub fn being_stopped(&self) -> Amount {
+        let mut all = Amount::default();
+        self.stopping.values().for_each(|amount| all.add(amount));
+        all
+    }
+
     /// What of each team's use has been told to stop, counted anew.
     pub fn count_stopping(&mut self) {
         self.stopping.clear();
--- a/src/coordination/leader/records/bindings.rs
+++ b/src/coordination/leader/records/bindings.rs
@@ -13,6 +13,9 @@
     pub fn attach(&mut self, ix: MachineIx, binding: Binding) {
         let machine = &mut self.machines[ix.at()];
         machine.used.add(&binding.need);
+        if binding.idle_time {
+            self.idle_time_cpu += binding.need.cpu;
+        }
         if let Some(team) = binding.team {
             self.usage.entry(team).or_default().add(&binding.need);
         }
@@ -32,6 +35,9 @@
         let machine = &mut self.machines[ix.at()];
         let binding = machine.bindings.swap_remove(at);
         machine.used = machine.used.less(&binding.need);
+        if binding.idle_time {
+            self.idle_time_cpu = self.idle_time_cpu.saturating_sub(binding.need.cpu);
+        }
         if machine.bindings.is_empty() {
             machine.idle_since = clock.now;
         }
@@ -91,6 +97,10 @@
         if work.ending || work.done.has(binding.task.task) || work.out.contains_key(&binding.task.task) {
             return;
         }
+        // It is tried again when its turn comes: `try_again`.
+        if work.trial.is_some() {
+            return;
+        }
         if work.info.together() || delay_ms > 0 {
             let at = clock.now.plus(delay_ms);
             self.delayed.entry(at).or_default().push((ix, binding.task.task));
--- a/src/coordination/leader/records/inherit.rs
+++ b/src/coordination/leader/records/inherit.rs
@@ -96,6 +96,7 @@
             need: info.map(|job| job.info.need).unwrap_or_default(),
             team: info.map(|job| job.info.team),
             pool: info.and_then(|job| job.info.pool()),
+            idle_time: info.is_some_and(|job| self.is_idle_time(&job.info)),
             over_limit: false,
             run: Run::Inherited,
             part: Some(part),
--- a/src/coordination/leader/withdraw.rs
+++ b/src/coordination/leader/withdraw.rs
@@ -38,6 +38,7 @@
         self.journal.note(id, EventWord::Withdrawn, None, 0, 0);
         let gone_by = self.gone_by(told_wall_ms, clock);
         for at in 0..self.machines.len() {
+            self.machines[at].errors.remove(&id);
             for binding in &mut self.machines[at].bindings {
                 if binding.task.job == id {
                     let task = binding.task.task;
