--- a/tests/world/conditions.rs
+++ b/tests/world/conditions.rs
@@ -53,6 +53,7 @@
                     self.asked.answer("explain", &job_name(id)).and_then(|body| body.pointer(pointer));
                 found.and_then(Value::as_f64).is_some_and(|found| compare(found as u64, op, right))
             }
+            ["accepted", id] => self.accepted.contains(&name(id)),
             ["record", key, op @ ("has" | "lacks"), word] => {
                 let value = self.state.get(key).map(Value::to_string);
                 value.is_some_and(|value| value.contains(word) == (*op == "has"))
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -22,6 +22,7 @@
 use olivelatch::coordination::{CallId, Clock, Input, Output};
 use olivelatch::ids::{JobId, Millis};
 use olivelatch::protocol::graphs::GraphAsked;
+use olivelatch::protocol::mesh::MeshMessage;
 use olivelatch::protocol::users::{UserRequest, read_submission};
 use olivelatch::protocol::workers::read_report;
 use olivelatch::protocol::{Answer, Outcome};
@@ -85,6 +86,11 @@
     /// What becomes of transactions while their answers are lost.
     txns: Txns,
     held_txns: Vec<Vec<u8>>,
+    mesh: Mesh,
+    /// What controllers said to each other and was held back: to whom, from whom.
+    held_mesh: Vec<(usize, String, MeshMessage)>,
+    /// Users that ask about a job again and again: its name, how often and when next (ms).
+    askers: Vec<(String, u64, u64)>,
     pub counters: BTreeMap<&'static str, u64>,
     asked: Asked,
     pub flows: Flows,
@@ -125,6 +131,16 @@
     Late,
 }
 
+/// What becomes of what controllers say to each other.
+#[derive(Clone, Copy, PartialEq)]
+enum Mesh {
+    Fine,
+    /// Delivered later, perhaps after the sender has ended.
+    Held,
+    /// Delivered, and once more later.
+    Twice,
+}
+
 enum Call {
     User { id: String, expect: Option<u16>, raw: bool },
     Report { worker: usize, sent: u64, session: u64 },
@@ -182,6 +198,9 @@
             held_direct: Vec::new(),
             txns: Txns::Fine,
             held_txns: Vec::new(),
+            mesh: Mesh::Fine,
+            held_mesh: Vec::new(),
+            askers: Vec::new(),
             counters: BTreeMap::new(),
             asked: Asked::default(),
             flows: Flows::default(),
@@ -302,6 +321,12 @@
                     return;
                 }
                 let from = self.nodes[at].name.clone();
+                if self.mesh != Mesh::Fine {
+                    self.held_mesh.push((to, from.clone(), message.clone()));
+                }
+                if self.mesh == Mesh::Held {
+                    return;
+                }
                 self.tell(to, Input::Mesh { node: from, message });
             }
         }
@@ -420,6 +445,17 @@
         }
     }
 
+    /// Users that ask about their jobs whatever the answer.
+    fn ask_again(&mut self) {
+        for at in 0..self.askers.len() {
+            while self.askers[at].2 <= self.now {
+                let id = self.askers[at].0.clone();
+                self.askers[at].2 += self.askers[at].1;
+                self.poll(&id);
+            }
+        }
+    }
+
     /// Operators ask whoever runs, ready or not.
     fn ask_as_operator(&mut self) {
         for (about, request) in self.asked.due(self.now) {
@@ -472,6 +508,7 @@
         self.ask_about_graphs();
         self.ask_as_operator();
         self.repeat_aborts();
+        self.ask_again();
         self.boot_machines();
         let lease = self.config["cluster"]["workers"]["lease_s"].as_f64().unwrap_or(12.0) * 1000.0;
         for at in 0..self.workers.len() {
--- a/tests/world/verbs.rs
+++ b/tests/world/verbs.rs
@@ -2,13 +2,14 @@
 
 use std::collections::HashSet;
 
+use olivelatch::coordination::Input;
 use olivelatch::ids::JobId;
 use olivelatch::protocol::users::{UserRequest, read_submission};
 use olivelatch_region::KindSpec;
 use olivelatch_worker::{Work, Worker};
 use serde_json::{Value, json};
 
-use super::{Call, Slot, Txns, World, number, word};
+use super::{Call, Mesh, Slot, Txns, World, number, word};
 
 impl World {
     pub fn node(&self, name: &str) -> usize {
@@ -348,6 +349,43 @@
         for (worker, body) in std::mem::take(&mut self.held_direct) {
             self.workers[worker].direct(&body, self.now, &self.jobs);
         }
+        for (to, node, message) in std::mem::take(&mut self.held_mesh) {
+            self.tell(to, Input::Mesh { node, message });
+        }
+        Ok(())
+    }
+
+    /// What is held back never arrives.
+    fn lose(&mut self, _: &[&str]) -> Done {
+        self.held_txns.clear();
+        self.held_direct.clear();
+        self.held_mesh.clear();
+        Ok(())
+    }
+
+    fn set_mesh(&mut self, words: &[&str]) -> Done {
+        self.mesh = match words {
+            ["held"] => Mesh::Held,
+            ["twice"] => Mesh::Twice,
+            ["fine"] => Mesh::Fine,
+            _ => return wrong("held, twice or fine"),
+        };
+        Ok(())
+    }
+
+    /// Ends a controller that is back after so many seconds, knowing nothing.
+    fn flash(&mut self, words: &[&str]) -> Done {
+        let [node, seconds] = words else { return wrong("NODE SECONDS") };
+        let name = self.nodes[self.node(node)].name.clone();
+        self.kill(&[&name])?;
+        self.advance(&[*seconds])?;
+        self.start(&[&name])
+    }
+
+    fn asks(&mut self, words: &[&str]) -> Done {
+        let [id, times] = words else { return wrong("JOB TIMES A SECOND") };
+        let times: u64 = times.parse().map_err(|_| "a count")?;
+        self.askers.push((job_of(id)?.0, (1000 / times.max(1)).max(1), self.now));
         Ok(())
     }
 
@@ -411,6 +449,10 @@
     ("direct", World::direct),
     ("txns", World::set_txns),
     ("deliver", World::deliver),
+    ("lose", World::lose),
+    ("mesh", World::set_mesh),
+    ("flash", World::flash),
+    ("asks", World::asks),
 ];
 
 pub fn wrong(expected: &str) -> Done {
