A new leader gives running machines time to find it

Change: what the cloud lists as running is not overdue within 30 s of the leader's beginning, for the return and the plan.

--- a/src/coordination/leader/machines/fleet.rs
+++ b/src/coordination/leader/machines/fleet.rs
@@ -8,7 +8,7 @@
 use crate::bookkeeping::records::{BookingRecord, Key};
 use crate::coordination::budget::Budget;
 use crate::coordination::leader::machines::plan::{MachineSet, PAID_MS};
-use crate::coordination::leader::{Leader, Life, Work};
+use crate::coordination::leader::{Leader, Life, Machine, Work};
 use crate::coordination::{AskId, Clock, Output};
 use crate::ids::{KindIx, MachineIx, Millis, Token, ZoneIx};
 use crate::protocol::Outcome;
@@ -83,6 +83,8 @@
 const CLOUD_TIMEOUT_MS: u64 = 5_000;
 /// Asks of the fleet are told apart from those of the ledger by this bit.
 const FLEET_ASK: u64 = 1 << 62;
+/// Workers with nothing to do may try every other node first, each for four seconds, before they find a new leader.
+const FIND_LEADER_MS: u64 = 30_000;
 /// A machine that takes so many times its usual boot time never comes up.
 const BOOT_PATIENCE: u64 = 3;
 
@@ -296,6 +298,7 @@
         let rented = clock.now.minus(listed.age_ms);
         let machine = &mut self.machines[ix.at()];
         machine.since = machine.since.min(rented);
+        machine.running |= listed.state == ListedState::Running;
         if machine.endpoint.is_empty() {
             machine.endpoint.clone_from(&listed.endpoint);
         }
@@ -417,11 +420,10 @@
             }
             let dear = (cheapest / self.price_per_cpu(ix)).clamp(0.0, 1.0);
             let age = clock.now.since(machine.since);
-            let boot = self.kinds.get(&machine.kind).map_or(60_000, |kind| kind.boot_ms);
             let idle_ms = (self.tunables.idle_s * 1000.0 * dear) as u64;
             let idle = clock.now.since(machine.idle_since);
             let why = match machine.life {
-                Life::Booting if age > boot * BOOT_PATIENCE + 10_000 => "never came up",
+                Life::Booting if self.boot_overdue(machine, clock) => "never came up",
                 Life::Silent if idle > 20_000 => "silent",
                 Life::Up if machine.sick => "sick",
                 Life::Up if machine.slow => "slow",
@@ -441,6 +443,15 @@
         }
     }
 
+    /// It should have reported long ago. One that was up before this node led may still be looking for it: without that
+    /// time a new leader gave back 147 idle machines within a second, and rented them anew.
+    pub fn boot_overdue(&self, machine: &Machine, clock: Clock) -> bool {
+        let boot = self.kinds.get(&machine.kind).map_or(60_000, |kind| kind.boot_ms);
+        let late = clock.now.since(machine.since) > boot * BOOT_PATIENCE + 10_000;
+        let finding = machine.running && clock.now < self.acquired.plus(FIND_LEADER_MS);
+        late && !finding
+    }
+
     pub fn best_offer(&self, work: &Work, clock: Clock, here: impl Fn(ZoneIx) -> bool) -> Option<Offer> {
         let open = self.fleet.open_bookings();
         let mut best: Option<(f64, Offer)> = None;
--- a/src/coordination/leader/machines/plan.rs
+++ b/src/coordination/leader/machines/plan.rs
@@ -202,7 +202,7 @@
             let delay_ms = match machine.life {
                 Life::Up if machine.open() || !machine.confirmed => 0,
                 // Later than usual: nobody should count on it for long.
-                Life::Booting if !machine.returning && clock.now.since(machine.since) < 3 * boot + 10_000 => {
+                Life::Booting if !machine.returning && !leader.boot_overdue(machine, clock) => {
                     boot.saturating_sub(clock.now.since(machine.since)).max(5_000)
                 }
                 _ => continue,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -111,6 +111,8 @@
     pub zone: ZoneIx,
     pub spot: bool,
     pub life: Life,
+    /// The cloud lists it as running: its worker may only not have found this leader yet.
+    pub running: bool,
     /// When it was rented, as far as known.
     pub since: Millis,
     pub session: Session,
@@ -568,6 +570,7 @@
             zone,
             spot,
             life: Life::Booting,
+            running: false,
             since: clock.now,
             session: Session(0),
             tick: 0,
