What has succeeded once is not at fault: sick machines do not put jobs on trial

Cause: with dozens of sick machines at once a job that had just begun failed on three of them within seconds; it was judged at fault, which also cleared the evidence against the machines.

Change: only a job of which no task has ever succeeded can be at fault; gangs, which succeed as a whole, after six machines.

--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -1,7 +1,7 @@
 //! Tasks that fail: is it the machine or the job?
 //!
 //! A machine is sick when different jobs fail on it with no success between. A job is at fault when it fails wherever it
-//! is tried. It is then **on trial**: one task at a time, after waits that grow, and nothing more of it is queued, planned
+//! is tried and has never succeeded. It is then **on trial**: one task at a time, after waits that grow, and nothing more of it is queued, planned
 //! or counted in anybody's turn, until a task succeeds. Without this one array submitted with a mistake started its
 //! 2,500 tasks again and again, and rented the whole fleet for them (docs/incidents/broken-jobs.md).
 
@@ -40,9 +40,15 @@
         self.failed_on.len() + self.forgiven
     }
 
-    /// It is at fault itself, not the machines.
+    /// A task of it has succeeded: what fails after that is the fault of machines.
+    fn proven(&self) -> bool {
+        self.runs > 0 || !self.done.is_empty()
+    }
+
+    /// It is at fault itself, not the machines. A gang succeeds only as a whole, so that it is given more of them.
     pub fn at_fault(&self) -> bool {
-        self.failures() >= BAD_JOB_MACHINES
+        let enough = if self.info.together() { 2 * BAD_JOB_MACHINES } else { BAD_JOB_MACHINES };
+        !self.proven() && self.failures() >= enough
     }
 
     /// A task succeeded: all its machines are good again. True if the job was on trial.
@@ -120,7 +126,7 @@
     fn looks_sick(&self, ix: MachineIx) -> bool {
         let errors = &self.machines[ix.at()].errors;
         // A job that is over was done: what a user withdraws is taken off.
-        let unproven = |id: &JobId| self.work.values().any(|work| work.info.id == *id && work.runs == 0);
+        let unproven = |id: &JobId| self.work.values().any(|work| work.info.id == *id && !work.proven());
         errors.len() >= if errors.iter().all(unproven) { SICK_UNPROVEN_JOBS } else { SICK_JOBS }
     }
     /// The job has failed once more: nothing of it waits in any queue, and the next task is tried after a while.
