--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -160,7 +160,9 @@
         out: &mut Vec<Output>,
     ) -> bool {
         let ours = mirror.leader.as_ref().filter(|seen| seen.node == self.node);
-        let Some(lease) = ours.and_then(|seen| seen.lease) else { return false };
+        // What it has given back itself is only not seen to be gone yet.
+        let rests = clock.now < self.rest_until;
+        let Some(lease) = ours.and_then(|seen| seen.lease).filter(|_| !rests) else { return false };
         // Looked at since the last word was sent: what that one ended is not ended twice.
         let looked = ledger.fresh.is_some_and(|fresh| fresh > self.last_ask);
         if looked && clock.now.since(self.last_ask) >= RETRY_MS {
