--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -133,7 +133,7 @@
     fn put_on_trial(&mut self, ix: JobIx, clock: Clock) {
         let Some(work) = self.work.get_mut(&ix) else { return };
         // Gangs are tried one attempt at a time anyway, and graphs say themselves how often a node is.
-        if work.info.together() || work.node.is_some() {
+        if work.info.together() || work.node.is_some() || !self.tunables.overload.trials {
             return;
         }
         let next = clock.now.plus(AFTER_ERROR_MS * patience(work));
--- a/src/coordination/leader/machines/plan.rs
+++ b/src/coordination/leader/machines/plan.rs
@@ -77,7 +77,9 @@
         self.mark_guaranteed();
         self.mark_late(clock);
         self.leave_room(clock);
-        self.claim_for_arrays(clock);
+        if self.tunables.overload.claims {
+            self.claim_for_arrays(clock);
+        }
         let mut plan = Plan::new(self, clock);
         plan.lay_out();
         let (used, wanted) = (plan.used, plan.wanted);
--- a/src/coordination/leader/placement/idle_time.rs
+++ b/src/coordination/leader/placement/idle_time.rs
@@ -22,7 +22,10 @@
     /// Where no class has an aim, all are alike and none is idle-time work.
     pub fn is_idle_time(&self, info: &JobInfo) -> bool {
         let waited_for = info.due_wall_ms.is_some() || info.node.is_some() || info.together();
-        !waited_for && !self.aimed.is_empty() && !self.aimed.contains(&info.class)
+        !waited_for
+            && self.tunables.overload.headroom
+            && !self.aimed.is_empty()
+            && !self.aimed.contains(&info.class)
     }
 
     /// May so many more of its tasks start, if nobody waits for them?
--- a/src/tunables.rs
+++ b/src/tunables.rs
@@ -64,11 +64,17 @@
     pub order: bool,
     /// A controller that is behind its events leaves planning and direct starts.
     pub pressure: bool,
+    /// Work that nobody waits for leaves room for what others asked for lately.
+    pub headroom: bool,
+    /// Arrays stop long tasks that are less urgent, or what others have borrowed.
+    pub claims: bool,
+    /// Jobs that fail wherever they are tried go on one task at a time.
+    pub trials: bool,
 }
 
 impl Default for OverloadTunables {
     fn default() -> Self {
-        OverloadTunables { order: true, pressure: true }
+        OverloadTunables { order: true, pressure: true, headroom: true, claims: true, trials: true }
     }
 }
 
