What was not taken from other controllers is shown in /metrics

Need: late, doubled and foreign words between controllers were counted, and the count was nowhere to be seen.

Change: olivelatch_mesh_dropped_total. Measured: the scrape's test; nothing else runs differently.

--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -23,6 +23,8 @@
     /// How long each kind of event was worked on.
     pub events: Vec<(&'static str, Spread)>,
     pub connections: u64,
+    /// What other controllers said that was not taken.
+    pub mesh_dropped: u64,
 }
 
 pub fn text(scrape: Scrape) -> String {
@@ -109,6 +111,9 @@
         }
         let mut counters = work.map(leader_counters).unwrap_or_default();
         counters.push(("olivelatch_takeovers", "Times that it began to lead", self.status.takeovers));
+        let help =
+            "Late, doubled or foreign words of other controllers, and connections that newer ones replaced";
+        counters.push(("olivelatch_mesh_dropped", help, self.mesh_dropped));
         for (name, help, value) in counters {
             let counter = ConstCounter::new(value);
             counter.encode(encoder.encode_descriptor(name, help, None, MetricType::Counter)?)?;
@@ -199,11 +204,13 @@
             answers: BTreeMap::from([(200, 4), (503, 1)]),
             events: vec![("report", spread.clone())],
             connections: 7,
+            mesh_dropped: 2,
         };
         let leader = text(scrape(Some(LeaderStatus { starts: 9, ..LeaderStatus::default() })));
         for line in [
             "olivelatch_ready 1.0",
             "olivelatch_starts_total 9",
+            "olivelatch_mesh_dropped_total 2",
             "olivelatch_answers_total{status=\"503\"} 1",
             "olivelatch_jobs_total{team=\"core\",class=\"work\",state=\"done\"} 5",
             "olivelatch_event_seconds_bucket{le=\"+Inf\",kind=\"report\"} 3",
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -219,6 +219,7 @@
             answers: self.answers.clone(),
             events: self.timings.spreads(),
             connections: self.servers.count_open(),
+            mesh_dropped: self.mesh.dropped,
         };
         let answer = Answer { text: true, ..Answer::raw(metrics::text(scrape).into_bytes()) };
         self.carry_out_one(Output::Answer { call, answer });
