A loopback test: one connection a node at another, the newest

Need: the rule for processes that are back at once was shown by no test, as virtual time has no connections.

Change: a controller is called seventy times under one name; one set-up serves both loopback tests.

Measured: fails where former connections are left open.

--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use olivelatch::protocol::mesh::{MeshMessage, encode};
 use olivelatch_region::{Cloud, KindSpec};
 use olivelatch_store::Engine;
 use serde_json::{Value, json};
@@ -165,29 +166,63 @@
     line.split_whitespace().nth(1).expect("a number").parse::<u64>().expect("a number") / 1024
 }
 
-/// 400 requests almost whole (24 MB), answers that nobody reads, idle connections: the buffers
-/// stay within their part of the settings' memory, and reports and submissions get through.
-#[test]
-fn half_sent_requests_stay_within_the_memory() {
-    let start = Instant::now();
-    let state = Arc::new(Mutex::new(Engine::default()));
+/// A controller, ready, with a state service and a cloud; and where it is asked.
+fn one_controller(name: &str, mesh: &str, others: &Value) -> (Controllers, String) {
     let cloud = Arc::new(Mutex::new(Cloud::default()));
     cloud.lock().expect("cloud").kinds.push(small());
-    let (state_addr, cloud_addr) = serve_region(state, cloud, start);
+    let state = Arc::new(Mutex::new(Engine::default()));
+    let (state_addr, cloud_addr) = serve_region(state, cloud, Instant::now());
     let front = free_addr();
-    let settings = json!({"node": "n0", "zone": "a", "front": front, "mesh_addr": free_addr(), "others": [],
+    let count = 1 + others.as_array().map_or(0, Vec::len);
+    let settings = json!({"node": "n0", "zone": "a", "front": front, "mesh_addr": mesh, "others": others,
         "endpoints": {"cloud": cloud_addr, "state": state_addr},
-        "cluster": {"count": 1, "zones": ["a"], "teams": [{"name": "core"}],
+        "cluster": {"count": count, "zones": ["a"], "teams": [{"name": "core"}],
             "workers": {"report_s": 0.5, "lease_s": 6.0, "gang_wait_s": 10.0, "gang_peer_s": 2.0, "cancel_s": 20.0},
             "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 4.0, "txn_ops": 8},
             "cloud": {"rps": 10.0, "list_lag_s": 1.0},
             "quota": {"core_share": 1.0, "mem_mb": 16.0, "max_connections": 800}, "time_bound_ms": 10.0}});
-    let file = std::env::temp_dir().join(format!("olivelatch-memory-{}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("olivelatch-{name}-{}.json", std::process::id()));
     std::fs::write(&file, settings.to_string()).expect("a settings file");
     let mut controllers =
         Controllers { children: vec![None], files: vec![file], fronts: vec![front.clone()] };
     controllers.start(0);
     controllers.until(15, "/ready", |status, _| status == 200);
+    (controllers, front)
+}
+
+/// A node that is back at once calls while connections of its former self are still open: the newest counts, the others
+/// are closed, and so are strangers. Without this they stayed open for good, until none was left for anybody.
+#[test]
+fn a_node_has_one_connection_at_another() {
+    let mesh = free_addr();
+    let (_controllers, _) =
+        one_controller("mesh", &mesh, &json!([{"node": "n1", "zone": "a", "addr": free_addr()}]));
+    let call = |node: &str| {
+        let mut stream = TcpStream::connect(&mesh).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_millis(1_500))).expect("a time-out");
+        stream.write_all(&encode(&MeshMessage::Hello { node: node.into() })).expect("a greeting");
+        std::thread::sleep(Duration::from_millis(30));
+        stream
+    };
+    // Closed: the end is read. Open: nothing is, until the time is over.
+    let closed = |stream: &mut TcpStream| match stream.read(&mut [0; 16]) {
+        Ok(read) => read == 0,
+        Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+    };
+    let mut former: Vec<TcpStream> = (0..70).map(|_| call("n1")).collect();
+    let mut newest = call("n1");
+    assert!(former.iter_mut().all(closed));
+    assert!(!closed(&mut newest));
+    assert!(closed(&mut call("stranger")));
+    newest.write_all(&encode(&MeshMessage::Hello { node: "n1".into() })).expect("said twice");
+    assert!(!closed(&mut newest));
+}
+
+/// 400 requests almost whole (24 MB), answers that nobody reads, idle connections: the buffers
+/// stay within their part of the settings' memory, and reports and submissions get through.
+#[test]
+fn half_sent_requests_stay_within_the_memory() {
+    let (controllers, front) = one_controller("memory", &free_addr(), &json!([]));
 
     let connect = || TcpStream::connect(&front).expect("a connection");
     let mut open: Vec<TcpStream> = (0..100).map(|_| connect()).collect();
