One sum of the CPUs there, one question for idle-time room; cheap checks before dear ones

The CPUs of the machines there were summed in two places, sockets counted in two, and whether idle-time work fits was asked by two functions; a claimant's tasks were counted down from all of a huge array instead of from the most that one look may stop; a machine's queue was looked through before it was known that it may steal at all.

Change: cpus_there, count_sockets and headroom_for serve all; the rest in another order. Behaviour as before.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,9 +1,9 @@
 //! The state service as this controller last saw it.
 
-use super::accounts::{Account, Accounts, PartyIx};
 use std::collections::{BTreeMap, HashMap};
 use std::ops::Bound;
 
+use super::accounts::{Account, Accounts, PartyIx};
 use super::bits::Bits;
 use super::graphs::Graphs;
 use super::jobs::{End, Job, JobInfo, Registry};
--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -1,9 +1,9 @@
 //! Tasks that fail: is it the machine or the job?
 //!
 //! A machine is sick when different jobs fail on it with no success between. A job is at fault when it fails wherever it
-//! is tried and has never succeeded. It is then **on trial**: one task at a time, after waits that grow, and nothing more of it is queued, planned
-//! or counted in anybody's turn, until a task succeeds. Without this one array submitted with a mistake started its
-//! 2,500 tasks again and again, and rented the whole fleet for them (docs/incidents/broken-jobs.md).
+//! is tried and has never succeeded. It is then **on trial**: one task at a time, after waits that grow, and nothing more
+//! of it is queued, planned or counted in anybody's turn, until a task succeeds. Without this one array submitted with a
+//! mistake started its tasks 2,563 times, and had the whole fleet rented for them (docs/incidents/broken-jobs.md).
 
 use std::collections::HashSet;
 
@@ -129,6 +129,7 @@
         let unproven = |id: &JobId| self.work.values().any(|work| work.info.id == *id && !work.proven());
         errors.len() >= if errors.iter().all(unproven) { SICK_UNPROVEN_JOBS } else { SICK_JOBS }
     }
+
     /// The job has failed once more: nothing of it waits in any queue, and the next task is tried after a while.
     fn put_on_trial(&mut self, ix: JobIx, clock: Clock) {
         let Some(work) = self.work.get_mut(&ix) else { return };
--- a/src/coordination/leader/placement/claims.rs
+++ b/src/coordination/leader/placement/claims.rs
@@ -84,12 +84,11 @@
     fn claimant(&self, ix: JobIx) -> Option<(u64, Stops, u64)> {
         let work = self.work.get(&ix)?;
         let need = work.info.need;
-        let covered = (1..=work.waiting()).rev().find(|tasks| {
-            *tasks <= MOST_STOPPED as u64 && self.within_guarantee(work.info.team, &need.times(*tasks))
-        });
-        let (tasks, lent) = match covered {
+        let most = work.waiting().min(MOST_STOPPED as u64);
+        let covered = |tasks: &u64| self.within_guarantee(work.info.team, &need.times(*tasks));
+        let (tasks, lent) = match (1..=most).rev().find(covered) {
             Some(tasks) => (tasks, self.lent(work.info.team)),
-            None => (work.waiting().min(MOST_STOPPED as u64), Default::default()),
+            None => (most, Default::default()),
         };
         let fits = self.within_quota(work.info.team, &need);
         fits.then(|| (need.cpu, Stops::new(work, lent), tasks))
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -83,7 +83,7 @@
         if !self.within_pool(work, 1) {
             return Some(Hindrance::PoolFull);
         }
-        (!self.within_headroom(work, 1)).then_some(Hindrance::IdleTime)
+        (self.headroom_for(work) == 0).then_some(Hindrance::IdleTime)
     }
 
     /// The zone rules, judged against every place where a task of the job may still be.
@@ -283,8 +283,8 @@
             // Dedicated first (source): those tasks wait for this machine alone.
             while self.bind_from(ix, true) || self.bind_from(ix, false) {}
             let machine = &self.machines[ix.at()];
-            let idle = machine.free().cpu > 0 && self.has_nothing_to_start(ix);
-            if !idle || clock.now < machine.next_steal || steals >= STEALS_A_ROUND {
+            let may_steal = clock.now >= machine.next_steal && steals < STEALS_A_ROUND;
+            if !may_steal || machine.free().cpu == 0 || !self.has_nothing_to_start(ix) {
                 return;
             }
             steals += 1;
--- a/src/coordination/leader/placement/idle_time.rs
+++ b/src/coordination/leader/placement/idle_time.rs
@@ -7,7 +7,7 @@
 
 use crate::bookkeeping::jobs::JobInfo;
 use crate::coordination::Clock;
-use crate::coordination::leader::{Leader, Life, Work};
+use crate::coordination::leader::{Leader, Work};
 
 /// Room is left for the most that work with aims asked for within so long.
 const WINDOW_MS: u64 = 90_000;
@@ -28,12 +28,7 @@
             && !self.aimed.contains(&info.class)
     }
 
-    /// May so many more of its tasks start, if nobody waits for them?
-    pub fn within_headroom(&self, work: &Work, tasks: u64) -> bool {
-        !self.is_idle_time(&work.info) || tasks <= self.headroom_for(work)
-    }
-
-    /// Tasks of the job that may start beside the idle-time work there.
+    /// Tasks of the job that may start beside the idle-time work there; any number if it is none.
     pub fn headroom_for(&self, work: &Work) -> u64 {
         if !self.is_idle_time(&work.info) {
             return u64::MAX;
@@ -44,8 +39,7 @@
     /// What work with aims asks for now, of all there is. Where all of it may stop idle-time work, none has to be kept free:
     /// what is lent comes back (`claims`).
     pub fn leave_room(&mut self, clock: Clock) {
-        let there = self.machines.iter().filter(|machine| machine.life != Life::Gone && !machine.returning);
-        let capacity: u64 = there.map(|machine| machine.size.cpu).sum();
+        let capacity = self.cpus_there();
         let works = self.work.values().filter(|work| work.trial.is_none());
         let (idle, aimed): (Vec<&Work>, Vec<&Work>) = works.partition(|work| self.is_idle_time(&work.info));
         let urgency = idle.iter().map(|work| work.info.urgency).min();
@@ -54,10 +48,8 @@
             guaranteed || urgency.is_some_and(|idle| work.info.urgency < idle)
         };
         let asked = |work: &&Work| work.info.need.cpu.saturating_mul(work.waiting() + work.out.len() as u64);
-        let demand = match aimed.iter().all(stops) {
-            true => 0,
-            false => aimed.iter().map(asked).fold(0, u64::saturating_add),
-        };
+        let demand =
+            if aimed.iter().all(stops) { 0 } else { aimed.iter().map(asked).fold(0, u64::saturating_add) };
         let before = self.headroom.allowed();
         self.headroom.see(clock.now.0, demand, capacity);
         if self.headroom.allowed() > before {
--- a/src/coordination/leader/placement/overload.rs
+++ b/src/coordination/leader/placement/overload.rs
@@ -82,13 +82,17 @@
         until.map_or(u64::MAX, |until| until.saturating_sub(clock.wall_ms))
     }
 
-    /// Of the machines there and those coming, what gangs do not use, in thousandths of CPUs.
-    fn cpus_for_arrays(&self) -> u64 {
+    /// Of the machines there and those coming, in thousandths of CPUs.
+    pub fn cpus_there(&self) -> u64 {
         let there = self.machines.iter().filter(|machine| machine.life != Life::Gone && !machine.returning);
-        let all: u64 = there.map(|machine| machine.size.cpu).sum();
+        there.map(|machine| machine.size.cpu).sum()
+    }
+
+    /// What of them gangs do not use.
+    fn cpus_for_arrays(&self) -> u64 {
         let gangs = self.work.values().filter(|work| work.info.together());
         let used: u64 = gangs.map(|work| work.info.need.cpu * work.out.len() as u64).sum();
-        all.saturating_sub(used)
+        self.cpus_there().saturating_sub(used)
     }
 
     /// A team counts by what it is guaranteed; one without a guarantee a little.
--- a/src/coordination/node/accounts.rs
+++ b/src/coordination/node/accounts.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use crate::bookkeeping::accounts::Account;
 use crate::coordination::Clock;
+use crate::ids::{ClassIx, TeamIx};
 use crate::protocol::operators::AccountView;
 
 /// How often accounts that changed are shown in the log.
@@ -31,7 +32,7 @@
     /// What the status tells of each party.
     pub(super) fn accounts(&self) -> Vec<AccountView> {
         let names = &self.mirror.names;
-        let view = |(party, account): (Option<(crate::ids::TeamIx, crate::ids::ClassIx)>, Account)| {
+        let view = |(party, account): (Option<(TeamIx, ClassIx)>, Account)| {
             let name = party
                 .map(|(team, class)| (names.teams.name_at(team.at()), names.classes.name_at(class.at())));
             let (team, class) = name.unwrap_or(("others", "others"));
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -305,8 +305,8 @@
                 self.clients.ask_cloud(common, ask, request.to_call(), timeout_ms);
             }
             Output::Orders { ask, endpoint, call, timeout_ms, .. } => {
-                self.clients.others = self.servers.count_open() as usize + self.mesh.count_open();
-                self.clients.ask_worker(common, ask, &endpoint, call, timeout_ms);
+                self.count_sockets();
+                self.clients.ask_worker(&mut self.common, ask, &endpoint, call, timeout_ms);
             }
             Output::Mesh { node, message } => self.mesh.send(common, &node, &message),
         }
