--- a/src/coordination/leader/machines/orders.rs
+++ b/src/coordination/leader/machines/orders.rs
@@ -78,9 +78,13 @@
         for ix in std::mem::take(&mut self.to_tell) {
             let machine = &self.machines[ix.at()];
             if machine.life != Life::Up || machine.direct_open || clock.now < machine.direct_after {
+                if machine.deaf() {
+                    self.to_tell.insert(ix);
+                }
                 continue;
             }
-            let greeting = !machine.confirmed;
+            // One that is deaf is greeted again and again, so that it is known when it hears.
+            let greeting = !machine.confirmed || machine.deaf();
             if greeting && machine.session.0 == 0 && machine.endpoint.is_empty() {
                 continue;
             }
@@ -125,6 +129,10 @@
         } else if outcome != DirectOutcome::Executed {
             machine.direct_after = clock.now.plus(DIRECT_PAUSE_MS);
         }
+        let heard = outcome == DirectOutcome::Executed;
+        if heard {
+            machine.unheard_runs = 0;
+        }
         for binding in &mut machine.bindings {
             if !direct.runs.contains(&(binding.task, binding.attempt)) || binding.run != Run::Direct {
                 continue;
@@ -144,5 +152,13 @@
             // Also those that were seen to exit meanwhile: a late copy must find them there.
             machine.late.extend(direct.runs.iter().copied());
         }
+        let machine = &self.machines[direct.machine.at()];
+        if heard {
+            self.refresh(direct.machine);
+        } else if machine.deaf() {
+            self.to_tell.insert(direct.machine);
+        } else if outcome == DirectOutcome::Unknown && machine.life == Life::Up && !direct.runs.is_empty() {
+            self.not_heard(direct.machine, clock);
+        }
     }
 }
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -37,15 +37,27 @@
     /// A report that came as a request. `may_run`: this node is entitled to start tasks.
     pub fn report(&mut self, mirror: &mut Mirror, clock: Clock, report: &Report, may_run: bool) -> Verdict {
         let ix = self.machine_of(mirror, report, clock);
-        // An older report may still be the worker's latest: its answer keeps the worker
-        // alive like any other, but it says nothing new.
+        let reported = std::mem::replace(&mut self.machines[ix.at()].reported, (report.session, report.tick));
+        if (report.session, report.tick) <= reported {
+            // A copy that comes late: nobody waits for the answer, and no lease grows by it.
+            self.machines[ix.at()].reported = reported;
+            return Verdict::Starve;
+        }
+        // A report older than the body of an answer to `/orders` may still be the worker's latest: its answer keeps
+        // the worker alive like any other, but it says nothing new.
         let newer = self.is_newer(ix, report);
+        self.heard_of(ix, clock);
+        if newer && report.token != self.token && self.unheard(ix, clock) {
+            return Verdict::Starve;
+        }
         if newer {
             self.observe(ix, clock, report);
             self.adopt_done(mirror, report, clock);
         }
         if newer && report.token == self.token {
-            self.machines[ix.at()].confirmed = true;
+            let machine = &mut self.machines[ix.at()];
+            machine.confirmed = true;
+            machine.unheard_since = None;
             self.absent(ix, clock, report);
         }
         self.refresh(ix);
@@ -85,17 +97,22 @@
         let kind = mirror.names.kinds.intern(&report.kind);
         let zone = mirror.names.zones.intern(&report.zone);
         let ix = self.add_machine(&report.machine, &report.endpoint, kind, zone, report.spot, clock);
+        self.machines[ix.at()].endpoint.clone_from(&report.endpoint);
+        ix
+    }
+
+    /// It is there, or there again.
+    fn heard_of(&mut self, ix: MachineIx, clock: Clock) {
         let machine = &mut self.machines[ix.at()];
-        machine.endpoint.clone_from(&report.endpoint);
         if machine.life == Life::Booting {
-            log::info!(event = "machine_up", machine = machine.name.as_str(); "machine {} up ({})", machine.name, report.kind);
+            let kind = self.kinds.get(&machine.kind).map_or("", |kind| &kind.name);
+            log::info!(event = "machine_up", machine = machine.name.as_str(); "machine {} up ({kind})", machine.name);
             machine.idle_since = clock.now;
         }
         if matches!(machine.life, Life::Booting | Life::Silent) {
             machine.shown = None;
             machine.life = Life::Up;
         }
-        ix
     }
 
     fn is_newer(&self, ix: MachineIx, report: &Report) -> bool {
@@ -135,7 +152,11 @@
             return;
         }
         log::info!("machine {} starts session {}", self.machines[ix.at()].name, now.0);
-        let sent = |binding: &Binding| binding.late || !matches!(binding.run, Run::Planned | Run::Recorded);
+        // What was inherited may have been started in this very session, if the one seen before was that of an old report
+        // that came late: a report with our token tells.
+        let sent = |binding: &Binding| {
+            binding.late || !matches!(binding.run, Run::Planned | Run::Recorded | Run::Inherited)
+        };
         while let Some(at) = self.machines[ix.at()].bindings.iter().position(sent) {
             let binding = self.detach(ix, at, clock);
             self.journal.note(binding.task.job, EventWord::MachineGone, Some(ix), binding.task.task, 1);
@@ -152,7 +173,11 @@
         match (known, piece.state) {
             (Some(at), TaskState::Exited(cause)) => self.exited(ix, at, piece, cause, clock),
             (Some(at), state) => {
-                let binding = &mut self.machines[ix.at()].bindings[at];
+                let machine = &mut self.machines[ix.at()];
+                let binding = &mut machine.bindings[at];
+                if !matches!(binding.run, Run::Seen | Run::Inherited) {
+                    machine.unheard_runs = 0;
+                }
                 binding.run = Run::Seen;
                 if binding.state != Some(state) {
                     log::debug!("{} {:?} on {}", piece.task, state, ix.0);
@@ -224,6 +249,7 @@
     fn absent(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
         let shown: HashSet<(TaskRef, Attempt)> =
             report.pieces.iter().map(|piece| (piece.task, piece.attempt)).collect();
+        let deaf = self.dropped_answer(ix, report.tick, clock);
         let mut at = 0;
         while let Some(binding) = self.machines[ix.at()].bindings.get_mut(at) {
             if shown.contains(&(binding.task, binding.attempt)) {
@@ -232,7 +258,14 @@
             }
             match binding.run {
                 // Our response was dropped: the worker never carries it out later.
-                Run::Answered { tick } if tick < report.tick => binding.run = Run::Recorded,
+                Run::Answered { tick } if tick < report.tick && (!deaf || binding.late) => {
+                    binding.run = Run::Recorded;
+                }
+                Run::Answered { tick } if tick < report.tick => {
+                    let binding = self.detach(ix, at, clock);
+                    self.requeue(&binding, 0, clock);
+                    continue;
+                }
                 Run::Seen | Run::Inherited if !binding.late => {
                     let binding = self.detach(ix, at, clock);
                     self.requeue(&binding, 0, clock);
--- a/src/coordination/leader/machines/silence.rs
+++ b/src/coordination/leader/machines/silence.rs
@@ -1,7 +1,7 @@
 //! Machines that are not heard from: when are they certainly empty, and what to do until then.
 
 use crate::coordination::Clock;
-use crate::coordination::leader::{Leader, Life, Machine};
+use crate::coordination::leader::{Binding, DEAF_RUNS, Leader, Life, Machine, Run};
 use crate::coordination::leadership::slack_ms;
 use crate::ids::{MachineIx, Millis};
 
@@ -65,10 +65,55 @@
         }
     }
 
+    /// A report without our token that is newer than the others: when it was sent, none of our answers so far had been
+    /// heard, so that none of them keeps the worker alive. True: it shall get no answer any more. Whatever else kept it
+    /// alive has run out after a lease, so that only our own answers would keep us waiting for its tasks.
+    pub(super) fn unheard(&mut self, ix: MachineIx, clock: Clock) -> bool {
+        let lease = self.settings.workers.lease_ms;
+        let machine = &mut self.machines[ix.at()];
+        if machine.confirmed {
+            return false;
+        }
+        machine.answered = None;
+        let since = *machine.unheard_since.get_or_insert(clock.now);
+        let over = clock.now.since(since) >= lease + slack_ms(lease);
+        over && !machine.bindings.is_empty()
+    }
+
+    /// The machine reports and shows nothing of what it was told with the answer before. True: it is taken for deaf.
+    pub(super) fn dropped_answer(&mut self, ix: MachineIx, tick: u64, clock: Clock) -> bool {
+        let machine = &mut self.machines[ix.at()];
+        let lacks = |binding: &Binding| matches!(binding.run, Run::Answered { tick: told } if told < tick);
+        if machine.bindings.iter().any(lacks) {
+            self.not_heard(ix, clock);
+        }
+        self.machines[ix.at()].deaf()
+    }
+
+    /// What was sent to it has not arrived, or is not known to have.
+    pub(super) fn not_heard(&mut self, ix: MachineIx, clock: Clock) {
+        let machine = &mut self.machines[ix.at()];
+        let before = machine.deaf();
+        machine.unheard_runs += 1;
+        machine.deaf_until = clock.now.plus(self.settings.workers.lease_ms);
+        if machine.deaf() && !before {
+            let name = machine.name.as_str();
+            log::info!(event = "machine_deaf", machine = name; "machine {name} reports but hears nothing");
+            self.refresh(ix);
+            self.spread_queues(ix);
+            self.to_tell.insert(ix);
+        }
+    }
+
     /// Machines whose worker's lease has certainly run out: nothing is on them.
     pub fn expire(&mut self, clock: Clock) {
         for at in 0..self.machines.len() {
             let ix = MachineIx(at as u32);
+            if self.machines[at].deaf() && clock.now >= self.machines[at].deaf_until {
+                // Perhaps only direct commands do not arrive: it is tried once more.
+                self.machines[at].unheard_runs = DEAF_RUNS - 1;
+                self.refresh(ix);
+            }
             let machine = &self.machines[at];
             if machine.life != Life::Up || clock.now < self.empty_at(machine) {
                 continue;
@@ -79,6 +124,7 @@
             let machine = &mut self.machines[at];
             machine.life = Life::Silent;
             machine.held_for = None;
+            machine.unheard_since = None;
             machine.idle_since = clock.now;
             self.refresh(ix);
             self.clear_machine(ix, clock);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -117,12 +117,20 @@
     pub since: Millis,
     pub session: Session,
     pub tick: u64,
+    /// Session and number of the newest report that came as such.
+    pub reported: (Session, u64),
     /// It has shown our token: no other leader's command can reach it any more.
     pub confirmed: bool,
     /// When it first showed our token in an answer to `/orders`, if that came before a report.
     pub shown: Option<Millis>,
     /// When the last report that was answered came in.
     pub answered: Option<Millis>,
+    /// Since when it reports without ever having heard an answer of ours, or our token.
+    pub unheard_since: Option<Millis>,
+    /// Answers and commands with starts that it has not heard, one after the other.
+    pub unheard_runs: u32,
+    /// Until then it is not tried again.
+    pub deaf_until: Millis,
     pub notice_until: Option<Millis>,
     pub returning: bool,
     /// The part of the log that tells that it goes back.
@@ -166,9 +174,15 @@
             && !self.returning
             && !self.sick
             && !self.slow
+            && !self.deaf()
             && self.notice_until.is_none()
     }
 
+    /// Its reports arrive, but what it is told does not: it gets nothing to start until it has heard something.
+    pub fn deaf(&self) -> bool {
+        self.unheard_runs >= DEAF_RUNS
+    }
+
     pub fn has_image(&self, image: ImageIx) -> bool {
         self.images.iter().any(|(held, _)| *held == image)
     }
@@ -323,6 +337,8 @@
     pub to_tell: BTreeSet<MachineIx>,
 }
 
+/// Once may be a lost packet, or our own standstill.
+pub(crate) const DEAF_RUNS: u32 = 2;
 /// A job that nobody waits for comes after those with an aim of a few minutes.
 const NO_AIM_MS: u64 = 600_000;
 /// The size of a job puts it behind jobs that came so much later at most.
@@ -574,9 +590,13 @@
             since: clock.now,
             session: Session(0),
             tick: 0,
+            reported: (Session(0), 0),
             confirmed: false,
             shown: None,
             answered: None,
+            unheard_since: None,
+            unheard_runs: 0,
+            deaf_until: Millis::default(),
             notice_until: None,
             returning: false,
             return_part: None,
--- a/src/coordination/leader/withdraw.rs
+++ b/src/coordination/leader/withdraw.rs
@@ -37,6 +37,9 @@
         }
         self.journal.note(id, EventWord::Withdrawn, None, 0, 0);
         let gone_by = self.gone_by(told_wall_ms, clock);
+        let tasks = self.bound.get(&id).copied().unwrap_or(0);
+        let ago_ms = clock.wall_ms.saturating_sub(told_wall_ms);
+        log::info!(event = "stops", job:% = id, tasks, ago_ms; "{id} was withdrawn {ago_ms} ms ago: {tasks} tasks stop");
         for at in 0..self.machines.len() {
             self.machines[at].errors.remove(&id);
             for binding in &mut self.machines[at].bindings {
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -7,11 +7,16 @@
 use crate::ids::{LeaseId, Millis, Revision, Token};
 use crate::protocol::state::{Change, Guard, StateReply, StateRequest};
 use crate::settings::WorkerTimes;
+use crate::tunables::LEAST_LIFE_S;
 
 /// Taken off every period that others rely on: clocks drift and timers fire late.
 pub const MARGIN_MS: u64 = 250;
 /// Steady clocks run apart by up to 0.05%; a little more is assumed.
 pub const DRIFT: f64 = 0.001;
+/// A leader whose mirror is older starts nothing.
+pub const STALE_MS: u64 = 2_500;
+/// No leader's lease is shorter.
+const LEAST_LIFE_MS: u64 = (LEAST_LIFE_S * 1000.0) as u64;
 
 /// What is added to a period that another clock measures.
 pub fn slack_ms(period_ms: u64) -> u64 {
@@ -83,10 +88,31 @@
         self.token().is_some() && now < self.valid_until()
     }
 
-    /// How long after its lease a leader without the state service may keep workers alive:
-    /// a job withdrawn elsewhere meanwhile must be gone within `cancel_s`.
-    pub fn hold_ms(workers: &WorkerTimes, life_ms: u64) -> u64 {
-        workers.cancel_ms.saturating_sub(workers.lease_ms + life_ms + slack_ms(workers.cancel_ms))
+    /// How long a leader may answer workers without having seen what became of the records: what was withdrawn since
+    /// must be gone within `cancel_s`, and a worker that is answered keeps its tasks for `lease_s` more.
+    fn blind_ms(workers: &WorkerTimes) -> u64 {
+        workers.cancel_ms.saturating_sub(workers.lease_ms + slack_ms(workers.cancel_ms))
+    }
+
+    /// The part of it that lies after a lease of this life.
+    fn hold_ms(workers: &WorkerTimes, life_ms: u64) -> u64 {
+        Self::blind_ms(workers).saturating_sub(life_ms)
+    }
+
+    /// How long after the end of its lease a former leader may have answered workers, whatever life its settings gave it.
+    pub fn longest_hold_ms(workers: &WorkerTimes) -> u64 {
+        Self::hold_ms(workers, LEAST_LIFE_MS)
+    }
+
+    /// Workers get no answer from then on. `known`: when the last look at the records that succeeded was sent. What was
+    /// withdrawn before that is known here; whatever is withdrawn later is told later, so that its tasks, kept alive by the
+    /// last answer for `lease_s` more, are gone in time. A renewal shows nothing of that: it only tells how long no other
+    /// node leads, which is what the next leader's wait for silent machines relies on.
+    /// Where the settings leave no room for a hold, a mirror as fresh as starts need has to do.
+    pub fn answers_until(&self, workers: &WorkerTimes, known: Option<Millis>) -> Millis {
+        let blind = Self::blind_ms(workers).max(STALE_MS);
+        let seen = known.map_or(Millis::default(), |at| at.plus(blind));
+        seen.min(self.valid_until().plus(Self::hold_ms(workers, self.life_ms)))
     }
 
     pub fn step_down(&mut self) {
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -16,7 +16,7 @@
 use crate::coordination::leader::Leader;
 use crate::coordination::leader::machines::orders::{Direct, DirectOutcome};
 use crate::coordination::leader::machines::reports::Verdict;
-use crate::coordination::leadership::{Leadership, Turn};
+use crate::coordination::leadership::{Leadership, STALE_MS, Turn};
 use crate::coordination::ledger::{Answered, Ledger, Purpose};
 use crate::coordination::operators::Operators;
 use crate::coordination::peers::Peers;
@@ -33,8 +33,6 @@
 /// How often changes are looked for when nobody waits for them.
 const LEADER_POLL_MS: u64 = 250;
 const FOLLOWER_POLL_MS: u64 = 500;
-/// A leader whose mirror is older starts nothing.
-const STALE_MS: u64 = 2_500;
 const DIRECT_TIMEOUT_MS: u64 = 2_500;
 const CATALOG_RETRY_MS: u64 = 3_000;
 /// Nodes hear of one another's state with that much delay.
@@ -299,15 +297,14 @@
 
     fn report_answer(&mut self, clock: Clock, report: &Report) -> Answer {
         let may_run = self.may_run(clock);
-        let hold = Leadership::hold_ms(&self.settings.workers, self.life_ms());
-        let held_until = self.leadership.valid_until().plus(hold);
+        let until = self.leadership.answers_until(&self.settings.workers, self.ledger.fresh);
         if let Some(leader) = &mut self.leader {
             if report.token > leader.token {
                 log::info!("{} has heard of a later leader", report.machine);
                 self.step_down();
                 return elsewhere(None);
             }
-            if !self.leadership.entitled(clock.now) && clock.now >= held_until {
+            if clock.now >= until {
                 return Answer::later("not entitled", 1);
             }
             return match leader.report(&mut self.mirror, clock, report, may_run) {
@@ -324,10 +321,6 @@
         }
     }
 
-    fn life_ms(&self) -> u64 {
-        (self.tunables.leader_life_s * 1000.0) as u64
-    }
-
     fn step_down(&mut self) {
         if self.leader.take().is_some() {
             log::info!("leads no more");
@@ -489,7 +482,7 @@
             self.step_down();
             return;
         }
-        let hold = Leadership::hold_ms(&self.settings.workers, self.life_ms());
+        let hold = Leadership::longest_hold_ms(&self.settings.workers);
         let start = Clock { now: acquired.max(clock.now), ..clock };
         let leader = Leader::new(
             token,
--- a/src/tunables.rs
+++ b/src/tunables.rs
@@ -147,6 +147,9 @@
     Json,
 }
 
+/// The shortest lease of a leader that may be asked for: others rely on it, whatever their own files say.
+pub const LEAST_LIFE_S: f64 = 1.0;
+
 impl Default for Tunables {
     fn default() -> Self {
         Tunables {
@@ -193,7 +196,7 @@
             ("steal_wait_ms", self.steal_wait_ms, 0.1, 1e6),
             ("steal_bound_s", self.steal_bound_s, 0.001, 1e4),
             ("hold_s", self.hold_s, 0.0, 600.0),
-            ("leader_life_s", self.leader_life_s, 1.0, 60.0),
+            ("leader_life_s", self.leader_life_s, LEAST_LIFE_S, 60.0),
             ("idle_s", self.idle_s, 0.0, 1e6),
             ("drain_s", self.drain_s, 1.0, 1e6),
             ("haste", self.haste, 0.05, 1.0),
--- /dev/null
+++ b/tests/plans.rs
@@ -0,0 +1,402 @@
+//! Random plans from seeds: several controllers, troubles that meet in all orders, jobs of every shape, users that ask and
+//! cancel through all of it. The rules of the users' protocol hold at every moment, every accepted job is known within 75 s
+//! of the last trouble and ends, one node leads in the end. A plan that fails is shrunk by leaving troubles out and printed
+//! as a scenario. `SEED=17 cargo test --test plans` plays one plan of each kind, `SEEDS=1000 ...` more of them.
+
+mod world;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use world::World;
+
+/// Plans of each kind that the checks play: the same verdict always.
+const SEEDS: u64 = 24;
+
+/// What is done to the region: lines with the time since the trouble began, in milliseconds.
+type Trouble = Vec<(u64, String)>;
+
+/// Troubles with their times, between a beginning and an end that they all share.
+struct Plan {
+    head: Vec<String>,
+    troubles: Vec<(u64, Trouble)>,
+    tail: Vec<String>,
+}
+
+impl Plan {
+    /// As the lines of a scenario.
+    fn lines(&self) -> Vec<String> {
+        let mut timed: Vec<(u64, &String)> = self
+            .troubles
+            .iter()
+            .flat_map(|(begin, trouble)| trouble.iter().map(move |(at, line)| (begin + at, line)))
+            .collect();
+        timed.sort_by_key(|(at, _)| *at);
+        let mut lines = self.head.clone();
+        let mut now = 0;
+        for (at, line) in timed {
+            if at > now {
+                lines.push(format!("advance {}", (at - now) as f64 / 1000.0));
+                now = at;
+            }
+            lines.push(line.clone());
+        }
+        lines.extend(self.tail.iter().cloned());
+        lines
+    }
+
+    fn without(&self, left_out: usize) -> Plan {
+        let mut troubles = self.troubles.clone();
+        troubles.remove(left_out);
+        Plan { head: self.head.clone(), troubles, tail: self.tail.clone() }
+    }
+
+    fn play(&self) -> Result<u64, String> {
+        let mut world = World::new();
+        for line in self.lines() {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            world.command(&words).map_err(|problem| format!("{line}: {problem}"))?;
+        }
+        Ok(world.longest_stay())
+    }
+}
+
+/// Leaves troubles out as long as the plan still fails.
+fn shrunk(mut plan: Plan, mut problem: String) -> (Plan, String) {
+    let mut at = 0;
+    while at < plan.troubles.len() {
+        let smaller = plan.without(at);
+        match smaller.play() {
+            Err(still) => (plan, problem) = (smaller, still),
+            Ok(_) => at += 1,
+        }
+    }
+    (plan, problem)
+}
+
+fn lines(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| (*text).to_string()).collect()
+}
+
+/// From `first` on and, `for_ms` later, over again.
+fn lasting(first: &[&str], for_ms: u64, then: &[&str]) -> Trouble {
+    let begin = first.iter().map(|line| (0, (*line).to_string()));
+    begin.chain(then.iter().map(|line| (for_ms, (*line).to_string()))).collect()
+}
+
+fn one_of<'a>(rng: &mut SmallRng, choices: &[&'a str]) -> &'a str {
+    choices[rng.random_range(0..choices.len())]
+}
+
+/// A controller ends and is back after so many milliseconds, knowing nothing.
+fn flash(node: &str, back_ms: u64) -> Trouble {
+    vec![(0, format!("kill {node}")), (back_ms, "start-all".into())]
+}
+
+fn both(mut one: Trouble, other: Trouble) -> Trouble {
+    one.extend(other);
+    one
+}
+
+fn later(trouble: Trouble, by_ms: u64) -> Trouble {
+    trouble.into_iter().map(|(at, line)| (at + by_ms, line)).collect()
+}
+
+const LASTING: [u64; 7] = [300, 1_000, 3_000, 6_000, 15_000, 30_000, 60_000];
+
+/// Processes that end and are back at once, in the middle of something.
+fn quick_return(rng: &mut SmallRng, nodes: usize) -> Trouble {
+    let node = format!("n{}", rng.random_range(0..nodes));
+    let back = [20, 40, 100, 200, 500, 1000][rng.random_range(0..6)];
+    let soon = rng.random_range(100..6_000);
+    let then = |first: &[&str], last: &[&str]| {
+        let over = both(lasting(first, soon + back + 20, last), later(flash(&node, back), soon));
+        let mut over = over;
+        over.sort_by_key(|(at, _)| *at);
+        over
+    };
+    match rng.random_range(0..12) {
+        0..=3 => flash(&node, back),
+        4 => lasting(&["kill n0", "kill n1"], back, &["start-all"]),
+        5 => {
+            (0..nodes as u64).flat_map(|at| later(flash(&format!("n{at}"), back), at * (back + 20))).collect()
+        }
+        6 => then(&["txns lost"], &["txns fine"]),
+        7 => then(&["txns late"], &[if rng.random_bool(0.5) { "deliver" } else { "lose" }, "txns fine"]),
+        8 => then(&["mesh held"], &["mesh fine", "deliver"]),
+        9 => then(&["direct lost"], &["direct fine", "deliver"]),
+        10 => then(&["outage on"], &["outage off"]),
+        _ => {
+            let from = one_of(rng, &["state", "workers", "mesh", "all"]);
+            then(&[&format!("cut {node} {from}")], &[&format!("uncut {from}")])
+        }
+    }
+}
+
+/// Whatever else is known to meet.
+fn any_trouble(rng: &mut SmallRng, nodes: usize) -> Trouble {
+    let for_ms = LASTING[rng.random_range(0..LASTING.len())];
+    let host = format!("host-{:06}", rng.random_range(0..6));
+    let other = format!("host-{:06}", rng.random_range(0..6));
+    let node = one_of(rng, &["leader", "n0", "n1", "n2"]);
+    match rng.random_range(0..18) {
+        0 => flash("leader", [40, 200, 1_000, 6_000][rng.random_range(0..4)]),
+        1 => {
+            let mut all: Trouble = (0..nodes).map(|at| (0, format!("kill n{at}"))).collect();
+            all.extend([(500, "start n0".into()), (6_000, "start-all".into())]);
+            all
+        }
+        2 => lasting(&[&format!("cut {node} state")], for_ms, &["uncut state"]),
+        3 => lasting(
+            &[&format!("cut {node} state"), &format!("cut {node} mesh")],
+            for_ms,
+            &["uncut state", "uncut mesh"],
+        ),
+        4 => lasting(&[&format!("cut {node} all")], for_ms, &["uncut all"]),
+        5 => lasting(&[&format!("cut {node} workers")], for_ms, &["uncut workers"]),
+        6 => lasting(&[&format!("cut {node} polls")], for_ms, &["uncut polls"]),
+        7 => lasting(&["outage on"], for_ms, &["outage off"]),
+        8 => lasting(
+            &[&format!("state slow {}", one_of(rng, &["0.1", "0.4", "0.9", "1.3"]))],
+            for_ms,
+            &["state fine"],
+        ),
+        9 => lasting(
+            &[&format!("txns late {}", one_of(rng, &["2", "4", "7", "12"]))],
+            for_ms.min(15_000),
+            &["txns fine"],
+        ),
+        10 => lasting(&["txns lost"], for_ms.min(6_000), &["txns fine"]),
+        11 => lasting(&["copies 2 7 15 31 50"], for_ms, &["copies none"]),
+        12 => lasting(&[&format!("deaf {host} {other}")], for_ms, &["deaf none"]),
+        13 => lasting(&["deaf all"], for_ms.min(15_000), &["deaf none"]),
+        14 => lasting(
+            &[&format!("hang {host}"), &format!("hang {other}")],
+            for_ms,
+            &[&format!("unhang {host}"), &format!("unhang {other}")],
+        ),
+        15 => lasting(&["direct lost"], for_ms.min(15_000), &["direct fine", "deliver"]),
+        16 => lasting(&["mesh held"], for_ms, &["mesh fine", "deliver"]),
+        _ => lasting(&[&format!("freeze {node}")], for_ms, &["thaw"]),
+    }
+}
+
+/// Whatever is still wrong is over.
+const MENDED: [&str; 15] = [
+    "heal",
+    "outage off",
+    "state fine",
+    "txns fine",
+    "mesh fine",
+    "direct fine",
+    "copies none",
+    "deaf none",
+    "unhang host-000000",
+    "unhang host-000001",
+    "unhang host-000002",
+    "unhang host-000003",
+    "thaw",
+    "start-all",
+    "until 30 leader = any",
+];
+
+fn zones(nodes: usize) -> String {
+    ["a", "b", "c", "a", "b"][..nodes].join(" ")
+}
+
+/// Controllers that end and are back at once, one trouble after the other.
+fn flashes(seed: u64) -> Plan {
+    const TROUBLES: usize = 14;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let nodes = if seed % 2 == 0 { 3 } else { 5 };
+    let mut head = lines(&["team core max=14", "team guest", "kind small cpus=4 boot=4 count=4 zones=a,b"]);
+    head.push(format!("nodes {}", zones(nodes)));
+    head.extend(lines(&[
+        "until 6 leader = any",
+        "submit 1 tasks=30 run=9",
+        "submit 2 gang tasks=3 cpus=3 run=12 checkpoint=4 together",
+        "submit 3 tasks=12 run=15 team=guest",
+        "submit 4 tasks=400 run=50 team=guest",
+        "advance 8",
+    ]));
+    let mut troubles = Vec::new();
+    let mut begin = 0;
+    for at in 0..TROUBLES {
+        let mut trouble = quick_return(&mut rng, nodes);
+        let over = trouble.iter().map(|(at, _)| *at).max().unwrap_or(0);
+        // In the middle of it, so that some acceptances are lost on their way.
+        trouble.insert(trouble.len().min(1), (0, format!("submit {} tasks=2 run=2", 10 + at)));
+        match at {
+            4 => trouble.push((over, "submit 5 tasks=6 run=3 team=guest".into())),
+            8 => trouble.push((over, "abort 4".into())),
+            _ => {}
+        }
+        troubles.push((begin, trouble));
+        begin += over + rng.random_range(20..4_000);
+    }
+    let mut tail = lines(&MENDED);
+    tail.extend(lines(&["until 60 withdrawn 4", "until 90 tasks <= 30"]));
+    let jobs = [1, 2, 3, 5].into_iter().chain((0..TROUBLES).map(|at| 10 + at));
+    tail.extend(jobs.map(|job| format!("until 400 done {job}")));
+    tail.extend(lines(&["advance 40", "expect leaders = 1", "expect tasks <= 0"]));
+    Plan { head, troubles, tail }
+}
+
+/// Two or three troubles over one another, with jobs of every shape, long tasks, cancellations and questions.
+fn meetings(seed: u64) -> Plan {
+    const LONG: std::ops::Range<usize> = 30..36;
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    let nodes = if seed % 3 == 0 { 5 } else { 3 };
+    let mut head = lines(&[
+        "team core max=16",
+        "team guest",
+        "team single max=1",
+        "team long",
+        "kind small cpus=4 boot=4 count=7 zones=a,b",
+    ]);
+    head.push(format!("nodes {}", zones(nodes)));
+    head.extend(lines(&[
+        "until 6 leader = any",
+        "submit 1 tasks=30 run=9",
+        "submit 2 gang tasks=3 cpus=3 run=25 checkpoint=4 together",
+        "submit 3 tasks=12 run=30 team=guest",
+        "submit 5 tasks=3 run=17 team=single",
+        "submit 6 tasks=2 run=40 team=guest",
+        "submit 7 service tasks=3 scatter team=guest",
+        "submit 8 gang tasks=2 cpus=2 run=60 checkpoint=10 team=guest",
+    ]));
+    head.extend(LONG.map(|job| format!("submit {job} tasks=1 run=900 team=long")));
+    head.push("advance 16".into());
+    head.extend([1, 2, 3, 5, 6, 8].map(|job| format!("asks {job} 1")));
+    let count = rng.random_range(2..4);
+    let mut troubles = Vec::new();
+    let mut begin = 0;
+    for _ in 0..count {
+        let from_both = rng.random_range(0..5) > 0;
+        let trouble = if from_both { any_trouble(&mut rng, nodes) } else { quick_return(&mut rng, nodes) };
+        troubles.push((begin, trouble));
+        begin += rng.random_range(0..8_000);
+    }
+    // The users' doings are no trouble that could be left out: they go on through all of them.
+    let mut users = Trouble::new();
+    for job in LONG {
+        users.push((rng.random_range(0..begin + 20_000), format!("abort {job}")));
+    }
+    for job in 10..16 {
+        users.push((rng.random_range(0..begin + 20_000), format!("submit {job} tasks=2 run=2")));
+    }
+    troubles.push((0, users));
+    let mut tail = lines(&MENDED);
+    let ends = [1, 2, 3, 5, 6, 8, 10, 11, 12, 13, 14, 15];
+    tail.push(format!("until 75 known 7 {}", ends.map(|job| job.to_string()).join(" ")));
+    tail.extend(LONG.map(|job| format!("until 60 withdrawn {job}")));
+    tail.extend(ends.map(|job| format!("until 400 done {job}")));
+    tail.extend(lines(&[
+        "abort 7",
+        "until 60 withdrawn 7",
+        "advance 40",
+        "expect leaders = 1",
+        "expect tasks <= 0",
+    ]));
+    Plan { head, troubles, tail }
+}
+
+/// Times of the workers: how often they report, their lease, what a cancellation has.
+const SITES: [[&str; 3]; 3] = [["2", "12", "32"], ["5", "26.5", "46.5"], ["5", "36", "61"]];
+/// How long after the refusal the state service is down for all: before and after another node leads.
+const GAPS_MS: [u64; 6] = [100, 1_000, 3_700, 4_300, 5_500, 10_000];
+
+/// The state service refuses the leader alone, other controllers confirm cancellations, then it is down for all for longer
+/// than a cancellation has, while workers go on reporting to the former leader.
+fn blind(site: usize, gap_ms: u64, rng: &mut SmallRng) -> Plan {
+    let [report, lease, cancel] = SITES[site];
+    let mut head = vec![format!("settings workers report_s={report} lease_s={lease} cancel_s={cancel}")];
+    head.extend(lines(&["team long", "kind small cpus=4 boot=4 count=5", "nodes a a a"]));
+    // The leader's clocks are the furthest off that the settings allow.
+    let sign = if rng.random_bool(0.5) { "" } else { "-" };
+    for node in 0..3 {
+        head.push(format!("clock n{node} {sign}500 {}", if node == 0 { "10" } else { "-10" }));
+    }
+    head.extend(lines(&["until 6 leader = any"]));
+    head.extend((1..=8).map(|job| format!("submit {job} tasks=2 run=900 team=long")));
+    head.extend(lines(&["until 30 running 8 >= 2", "until 30 running 1 >= 2"]));
+    head.push(format!("advance {}", f64::from(rng.random_range(20..2_000)) / 1000.0));
+    let mut trouble = vec![(0, "cut leader state".to_string())];
+    if rng.random_bool(0.5) {
+        trouble.push((0, "cut leader mesh".into()));
+    }
+    if rng.random_bool(0.5) {
+        // The successor's commands do not reach the machines.
+        trouble.push((0, "cut all orders".into()));
+    }
+    // The first and the last moment, and some between, through each of the others.
+    let last = gap_ms.saturating_sub(60);
+    let times = [0, last, rng.random_range(0..last + 1), rng.random_range(0..last + 1)];
+    for (job, at) in (1..).zip(times) {
+        trouble.push((at, format!("abort {job} {}", if job % 2 == 0 { "first" } else { "second" })));
+    }
+    trouble.sort_by_key(|(at, _)| *at);
+    trouble.push((gap_ms, "expect confirmed >= 1".into()));
+    trouble.push((gap_ms, "outage on".into()));
+    let cancel_ms = cancel.parse::<f64>().expect("seconds") * 1000.0;
+    let over = gap_ms + cancel_ms as u64 + rng.random_range(1_000..25_000);
+    trouble.push((over, "outage off".into()));
+    let mut tail = lines(&MENDED);
+    tail.extend((1..=4).map(|job| format!("until 60 withdrawn {job}")));
+    tail.extend(lines(&["until 75 known 5 6 7 8", "until 240 running 8 >= 2"]));
+    tail.extend((5..=8).map(|job| format!("abort {job}")));
+    tail.extend(lines(&["until 60 tasks <= 0", "expect leaders = 1"]));
+    Plan { head, troubles: vec![(0, trouble)], tail }
+}
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok())
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    match number("SEED") {
+        Some(seed) => seed..seed + 1,
+        None => 0..number("SEEDS").unwrap_or(SEEDS),
+    }
+}
+
+fn hold(plans: impl Iterator<Item = (String, Plan)>) {
+    let mut longest = 0;
+    let mut failed = Vec::new();
+    for (name, plan) in plans {
+        match plan.play() {
+            Ok(stay) => longest = longest.max(stay),
+            Err(problem) => {
+                let (plan, problem) = shrunk(plan, problem);
+                failed.push(format!("{name}: {problem}\n{}", plan.lines().join("\n")));
+            }
+        }
+    }
+    println!("a withdrawn job's task was there for {longest} ms at most");
+    assert!(failed.is_empty(), "{} plans:\n{}", failed.len(), failed.join("\n\n"));
+}
+
+#[test]
+fn the_rules_hold_when_controllers_are_back_at_once() {
+    hold(seeds().map(|seed| (format!("seed {seed}"), flashes(seed))));
+}
+
+#[test]
+fn the_rules_hold_when_troubles_meet() {
+    hold(seeds().map(|seed| (format!("seed {seed}"), meetings(seed))));
+}
+
+/// Each site and gap, and random ones beyond these.
+#[test]
+fn cancelled_tasks_are_gone_in_time_when_the_leader_is_blind() {
+    for (site, [_, lease, cancel]) in SITES.iter().enumerate() {
+        println!("lease {lease} s, cancellation {cancel} s:");
+        hold(seeds().map(|seed| {
+            let mut rng = SmallRng::seed_from_u64(seed ^ 0xb11d);
+            let gap = match GAPS_MS.get(seed as usize) {
+                Some(gap) => *gap,
+                None => rng.random_range(80..15_000),
+            };
+            (format!("seed {seed}, site {site}, gap {gap} ms"), blind(site, gap, &mut rng))
+        }));
+    }
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -57,13 +57,13 @@
             let request = read_operator(path, query).expect("a path").expect("a question");
             world.next_call += 1;
             let call = CallId(world.next_call);
-            let clock = world.clock();
+            let clock = world.clock(0);
             let node = world.nodes[at].node.as_mut().expect("a node");
             node.take(clock, Input::Operator { call, request });
             // Its poll and the barrier: what the node does until the answer is there.
             for _ in 0..20 {
                 world.now += STEP_MS;
-                let clock = world.clock();
+                let clock = world.clock(0);
                 let Some(node) = world.nodes[at].node.as_mut() else { continue };
                 let outputs = node.step(clock);
                 let mut answered = false;
--- a/tests/world/conditions.rs
+++ b/tests/world/conditions.rs
@@ -53,6 +53,18 @@
                     self.asked.answer("explain", &job_name(id)).and_then(|body| body.pointer(pointer));
                 found.and_then(Value::as_f64).is_some_and(|found| compare(found as u64, op, right))
             }
+            ["known", ids @ ..] => {
+                let ids: Vec<String> = ids.iter().map(|id| name(id)).collect();
+                if self.now % 500 == 0 {
+                    ids.iter().for_each(|id| self.poll(id));
+                }
+                let known =
+                    |id: &String| self.troubles.known.get(id).is_some_and(|at| self.now <= at + 5_000);
+                ids.iter().all(known)
+            }
+            ["confirmed", op, right] => compare(self.withdrawn.len() as u64, op, right),
+            // In milliseconds, after its user had been told.
+            ["stayed", op, right] => compare(self.troubles.longest_stay, op, right),
             ["accepted", id] => self.accepted.contains(&name(id)),
             ["record", key, op @ ("has" | "lacks"), word] => {
                 let value = self.state.get(key).map(Value::to_string);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -10,6 +10,7 @@
 mod graphs;
 mod load;
 mod rules;
+mod troubles;
 mod verbs;
 
 use std::collections::{BTreeMap, HashSet};
@@ -19,10 +20,11 @@
 use flows::Flows;
 use load::Load;
 use olivelatch::coordination::node::Node;
-use olivelatch::coordination::{CallId, Clock, Input, Output};
-use olivelatch::ids::{JobId, Millis};
+use olivelatch::coordination::{CallId, Input, Output};
+use olivelatch::ids::JobId;
 use olivelatch::protocol::graphs::GraphAsked;
 use olivelatch::protocol::mesh::MeshMessage;
+use olivelatch::protocol::state::StateRequest;
 use olivelatch::protocol::users::{UserRequest, read_submission};
 use olivelatch::protocol::workers::read_report;
 use olivelatch::protocol::{Answer, Outcome};
@@ -32,6 +34,7 @@
 use olivelatch_store::Engine;
 use olivelatch_worker::{Description, Descriptions, GangTimes, Work, Worker, coordinate};
 use serde_json::{Value, json};
+use troubles::{Pace, Troubles};
 
 pub const STEP_MS: u64 = 20;
 const START_MS: u64 = 100_000;
@@ -43,6 +46,7 @@
     cuts: HashSet<String>,
     life: u64,
     load: Load,
+    pace: Pace,
 }
 
 impl Slot {
@@ -86,6 +90,7 @@
     /// What becomes of transactions while their answers are lost.
     txns: Txns,
     held_txns: Vec<Vec<u8>>,
+    troubles: Troubles,
     mesh: Mesh,
     /// What controllers said to each other and was held back: to whom, from whom.
     held_mesh: Vec<(usize, String, MeshMessage)>,
@@ -198,6 +203,7 @@
             held_direct: Vec::new(),
             txns: Txns::Fine,
             held_txns: Vec::new(),
+            troubles: Troubles::default(),
             mesh: Mesh::Fine,
             held_mesh: Vec::new(),
             askers: Vec::new(),
@@ -211,10 +217,6 @@
         }
     }
 
-    pub fn clock(&self) -> Clock {
-        Clock { now: Millis(self.now), wall_ms: 1_700_000_000_000 + self.now }
-    }
-
     fn boot(&mut self, at: usize) {
         let mut config = self.config.clone();
         config["node"] = json!(self.nodes[at].name);
@@ -230,7 +232,7 @@
         self.nodes[at].life += 1;
         self.nodes[at].load = self.processor.map(Load::new).unwrap_or_default();
         let seed = at as u64 * 1000 + self.nodes[at].life;
-        self.nodes[at].node = Some(Node::new(settings, tunables, seed, self.clock()));
+        self.nodes[at].node = Some(Node::new(settings, tunables, seed, self.clock(at)));
     }
 
     fn cut(&self, node: usize, what: &str) -> bool {
@@ -243,6 +245,10 @@
     }
 
     fn tell(&mut self, at: usize, input: Input) {
+        if self.nodes[at].pace.frozen {
+            self.nodes[at].pace.missed.push(input);
+            return;
+        }
         let now = self.now;
         if let Some(input) = self.nodes[at].load.take(now, input) {
             self.tell_now(at, input);
@@ -250,7 +256,7 @@
     }
 
     fn tell_now(&mut self, at: usize, input: Input) {
-        let clock = self.clock();
+        let clock = self.clock(at);
         let Some(node) = self.nodes[at].node.as_mut() else { return };
         let (began, kind) = (Instant::now(), input.kind());
         let outputs = node.handle(clock, input);
@@ -263,14 +269,18 @@
     fn carry_out(&mut self, at: usize, output: Output) {
         match output {
             Output::Answer { call, answer } => self.answered(at, call, &answer),
-            Output::State { ask, request, .. } => {
-                let outcome = if self.outage || self.cut(at, "state") {
+            Output::State { ask, request, timeout_ms } => {
+                let blind = self.cut(at, "polls") && matches!(request, StateRequest::Changes { .. });
+                let outcome = if self.outage || blind || self.cut(at, "state") {
                     Outcome::Response { status: 503, body: Vec::new() }
                 } else {
                     let call = request.to_call();
                     let mode = if call.path == "/txn" { self.txns } else { Txns::Fine };
                     if mode == Txns::Late {
-                        self.held_txns.push(call.body.clone());
+                        match self.troubles.late_ms {
+                            Some(late) => self.txn_later(late, call.body.clone()),
+                            None => self.held_txns.push(call.body.clone()),
+                        }
                         self.tell(at, Input::State { ask, outcome: Outcome::Unknown });
                         return;
                     }
@@ -285,7 +295,7 @@
                         _ => Outcome::Response { status, body: body.to_string().into_bytes() },
                     }
                 };
-                self.tell(at, Input::State { ask, outcome });
+                self.state_answers(at, ask, outcome, timeout_ms);
             }
             Output::Cloud { ask, request, .. } => {
                 let outcome = if self.cloud_down {
@@ -300,8 +310,11 @@
             Output::Orders { ask, endpoint, call, .. } => {
                 self.nodes[at].load.commanded();
                 let worker = self.workers.iter().position(|worker| worker.machine.endpoint == endpoint);
-                let reach = worker.is_some_and(|worker| self.reaches(at, worker));
+                let reach = worker.is_some_and(|worker| self.reaches(at, worker) && !self.cut(at, "orders"));
                 let outcome = match worker.filter(|_| reach) {
+                    Some(worker) if self.troubles.deaf.contains(&self.workers[worker].machine.name) => {
+                        Outcome::Unknown
+                    }
                     Some(worker) if self.lost_direct => {
                         self.held_direct.push((worker, call.body.clone()));
                         Outcome::Unknown
@@ -373,10 +386,11 @@
                     self.note_status(&id, body["status"].as_str().unwrap_or(""));
                 }
                 if answer.status < 300 && !raw {
+                    self.troubles.known.insert(id.clone(), self.now);
                     self.accepted.insert(id.clone());
                 }
                 let again = answer.status == 503 && expect.is_none() && !raw;
-                if again && self.specs.contains_key(&id) && !self.accepted.contains(&id) {
+                if again && self.unheard(&id) {
                     self.retries.push((self.now + 1000, id.clone()));
                 }
                 if answer.status == 404 && self.accepted.contains(&id) {
@@ -386,6 +400,11 @@
         }
     }
 
+    /// Submitted, and no node has said yet that it is accepted.
+    fn unheard(&self, id: &str) -> bool {
+        self.specs.contains_key(id) && !self.accepted.contains(id)
+    }
+
     fn note_status(&mut self, id: &str, status: &str) {
         if let Some(known) = self.final_states.get(id)
             && known != status
@@ -403,7 +422,7 @@
     fn report_answered(&mut self, worker: usize, sent: u64, session: u64, status: u16, body: &Value) {
         let now = self.now;
         // The worker has given it up, and reports elsewhere.
-        if now >= sent + 4000 {
+        if now >= sent + 4000 || self.troubles.deaf.contains(&self.workers[worker].machine.name) {
             return;
         }
         self.worker_node[worker].2 = None;
@@ -425,7 +444,12 @@
         let up: Vec<usize> = (0..self.nodes.len())
             .filter(|at| !self.cut(*at, "users") && self.nodes[*at].node.as_ref().is_some_and(Node::ready))
             .collect();
-        let Some(at) = up.get(self.next_call as usize % up.len().max(1)).copied() else { return };
+        let Some(at) = up.get(self.next_call as usize % up.len().max(1)).copied() else {
+            if self.unheard(id) && !raw {
+                self.retries.push((self.now + 1000, id.into()));
+            }
+            return;
+        };
         self.next_call += 1;
         let call = self.next_call;
         self.calls.insert((at, call), Call::User { id: id.into(), expect, raw });
@@ -505,6 +529,7 @@
 
     pub fn step(&mut self) {
         self.now += STEP_MS;
+        self.arrivals();
         self.ask_about_graphs();
         self.ask_as_operator();
         self.repeat_aborts();
@@ -521,6 +546,7 @@
                     self.workers[at].step(self.now, lease as u64, &BTreeMap::new());
                 }
                 self.workers[at].pieces.retain(|_| here);
+                self.judge_withdrawn(at);
                 continue;
             }
             self.workers[at].step(self.now, lease as u64, &self.jobs);
@@ -536,8 +562,10 @@
             self.ask(request, &id, None, false);
         }
         for at in 0..self.nodes.len() {
-            self.work_off(at);
-            self.tell(at, Input::Tick);
+            if !self.nodes[at].pace.frozen {
+                self.work_off(at);
+                self.tell(at, Input::Tick);
+            }
         }
         let seen: Vec<(&'static str, u64)> = self
             .nodes
@@ -616,6 +644,7 @@
             return;
         }
         let report = read_report(body.as_bytes()).expect("a report of the protocol's form");
+        self.copy_report(node, body.as_bytes());
         self.next_call += 1;
         let call = self.next_call;
         self.calls.insert((node, call), Call::Report { worker: at, sent: self.now, session });
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -20,10 +20,16 @@
             self.broken.extend(self.flows.started_too_early(&job, &self.state));
             self.judge_place(at, &job, &task);
         }
+        self.judge_withdrawn(at);
+    }
+
+    /// Also of machines that hang: what is on them may go on at any moment.
+    pub fn judge_withdrawn(&mut self, at: usize) {
         let limit = (self.config["cluster"]["workers"]["cancel_s"].as_f64().unwrap_or(0.0) * 1000.0) as u64;
-        for piece in &self.workers[at].pieces {
-            let told = self.withdrawn.get(piece.job());
-            if piece.on && !piece.ended() && told.is_some_and(|told| self.now > told + limit) {
+        for piece in self.workers[at].pieces.iter().filter(|piece| piece.on && !piece.ended()) {
+            let Some(told) = self.withdrawn.get(piece.job()) else { continue };
+            self.troubles.longest_stay = self.troubles.longest_stay.max(self.now - told);
+            if self.now > told + limit {
                 self.broken.push(format!("ran_cancelled: {}", piece.task));
             }
         }
--- /dev/null
+++ b/tests/world/troubles.rs
@@ -0,0 +1,169 @@
+//! What goes wrong around controllers beside cuts and ends: machines that hear nothing, reports and transactions that come
+//! late, controllers that stand still, clocks that run apart, a state service that answers slowly.
+
+use std::collections::{BTreeMap, HashSet};
+
+use olivelatch::coordination::{AskId, CallId, Clock, Input};
+use olivelatch::ids::Millis;
+use olivelatch::protocol::Outcome;
+use olivelatch::protocol::workers::read_report;
+
+use super::verbs::{Done, seconds_of, wrong};
+use super::{START_MS, World};
+
+/// What is on its way, with the time when it arrives.
+#[derive(Default)]
+pub struct Troubles {
+    /// Machines whose reports arrive, but nothing that they are told.
+    pub deaf: HashSet<String>,
+    /// After how long copies of reports arrive again, in turn; none: they do not.
+    copies: Vec<u64>,
+    copied: Vec<(u64, usize, Vec<u8>)>,
+    /// How long the state service takes to answer.
+    pub slow_ms: u64,
+    answers: Vec<(u64, usize, u64, AskId, Outcome)>,
+    /// Transactions without an answer are carried out so much later.
+    pub late_ms: Option<u64>,
+    txns: Vec<(u64, Vec<u8>)>,
+    /// How long a withdrawn job's task was there at most after its user had been told.
+    pub longest_stay: u64,
+    /// When a question about a job was last answered.
+    pub known: BTreeMap<String, u64>,
+}
+
+/// What a controller makes of time.
+#[derive(Default)]
+pub struct Pace {
+    /// Its steady clock runs fast by this share.
+    drift: f64,
+    wall_off_ms: i64,
+    pub frozen: bool,
+    /// What came in while it stood still.
+    pub missed: Vec<Input>,
+}
+
+impl World {
+    pub fn longest_stay(&self) -> u64 {
+        self.troubles.longest_stay
+    }
+
+    pub fn clock(&self, at: usize) -> Clock {
+        let pace = &self.nodes[at].pace;
+        let gone = (self.now - START_MS) as f64 * (1.0 + pace.drift);
+        let wall = 1_700_000_000_000_u64 + self.now;
+        Clock { now: Millis(START_MS + gone as u64), wall_ms: wall.saturating_add_signed(pace.wall_off_ms) }
+    }
+
+    /// An answer of the state service, at once or after its time.
+    pub fn state_answers(&mut self, at: usize, ask: AskId, outcome: Outcome, timeout_ms: u64) {
+        let slow = self.troubles.slow_ms;
+        if slow == 0 {
+            return self.tell(at, Input::State { ask, outcome });
+        }
+        let outcome = if slow < timeout_ms { outcome } else { Outcome::Unknown };
+        let due = self.now + slow.min(timeout_ms);
+        let life = self.nodes[at].life;
+        self.troubles.answers.push((due, at, life, ask, outcome));
+    }
+
+    /// A transaction that is carried out later, without an answer.
+    pub fn txn_later(&mut self, late_ms: u64, body: Vec<u8>) {
+        self.troubles.txns.push((self.now + late_ms, body));
+    }
+
+    pub fn copy_report(&mut self, node: usize, body: &[u8]) {
+        let delays = &self.troubles.copies;
+        if let Some(delay) = delays.get(self.next_call as usize % delays.len().max(1)) {
+            self.troubles.copied.push((self.now + delay, node, body.to_vec()));
+        }
+    }
+
+    /// What has been on its way for long enough arrives.
+    pub fn arrivals(&mut self) {
+        let now = self.now;
+        let txns = std::mem::take(&mut self.troubles.txns);
+        let (due, rest): (Vec<_>, Vec<_>) = txns.into_iter().partition(|(at, _)| *at <= now);
+        self.troubles.txns = rest;
+        if !self.outage {
+            due.into_iter().for_each(|(_, body)| drop(self.state.call("POST", "/txn", &body, now)));
+        }
+        let answers = std::mem::take(&mut self.troubles.answers);
+        let (due, rest): (Vec<_>, Vec<_>) = answers.into_iter().partition(|(at, ..)| *at <= now);
+        self.troubles.answers = rest;
+        for (_, at, life, ask, outcome) in due {
+            if self.nodes[at].life == life {
+                self.tell(at, Input::State { ask, outcome });
+            }
+        }
+        let copied = std::mem::take(&mut self.troubles.copied);
+        let (due, rest): (Vec<_>, Vec<_>) = copied.into_iter().partition(|(at, ..)| *at <= now);
+        self.troubles.copied = rest;
+        for (_, node, body) in due {
+            let report = read_report(&body).expect("a report of the protocol's form");
+            self.next_call += 1;
+            // Nobody waits for the answer.
+            self.tell(node, Input::Report { call: CallId(self.next_call), report });
+        }
+    }
+
+    pub fn set_deaf(&mut self, words: &[&str]) -> Done {
+        for host in words {
+            match *host {
+                "none" => self.troubles.deaf.clear(),
+                "all" => {
+                    let all = self.workers.iter().map(|worker| worker.machine.name.clone());
+                    self.troubles.deaf.extend(all);
+                }
+                host => drop(self.troubles.deaf.insert(host.into())),
+            }
+        }
+        Ok(())
+    }
+
+    pub fn set_copies(&mut self, words: &[&str]) -> Done {
+        let delays: Result<Vec<f64>, String> =
+            words.iter().filter(|word| **word != "none").map(|word| seconds_of(word)).collect();
+        self.troubles.copies = delays?.into_iter().map(|seconds| (seconds * 1000.0) as u64).collect();
+        Ok(())
+    }
+
+    pub fn set_state(&mut self, words: &[&str]) -> Done {
+        self.troubles.slow_ms = match words {
+            ["slow", seconds] => (seconds_of(seconds)? * 1000.0) as u64,
+            ["fine"] => 0,
+            _ => return wrong("slow SECONDS or fine"),
+        };
+        Ok(())
+    }
+
+    /// The controller stands still while its clocks run on.
+    pub fn freeze(&mut self, words: &[&str]) -> Done {
+        let [node] = words else { return wrong("NODE") };
+        let Some(at) = self.node_if_any(node).filter(|at| self.nodes[*at].node.is_some()) else {
+            return Ok(());
+        };
+        self.nodes[at].pace.frozen = true;
+        Ok(())
+    }
+
+    /// It goes on with all that has come in meanwhile; who had sent that may have given up.
+    pub fn thaw(&mut self, _: &[&str]) -> Done {
+        for at in 0..self.nodes.len() {
+            self.nodes[at].pace.frozen = false;
+            for input in std::mem::take(&mut self.nodes[at].pace.missed) {
+                self.tell(at, input);
+            }
+        }
+        Ok(())
+    }
+
+    /// Its clocks run apart from the others': steady clock in parts of a million, time of day in milliseconds.
+    pub fn set_clock(&mut self, words: &[&str]) -> Done {
+        let [node, ppm, wall] = words else { return wrong("NODE PPM MILLISECONDS") };
+        let at = self.node(node);
+        let pace = &mut self.nodes[at].pace;
+        pace.drift = ppm.parse::<f64>().map_err(|_| "a number")? / 1e6;
+        pace.wall_off_ms = wall.parse().map_err(|_| "a number")?;
+        Ok(())
+    }
+}
--- a/tests/world/verbs.rs
+++ b/tests/world/verbs.rs
@@ -13,10 +13,14 @@
 
 impl World {
     pub fn node(&self, name: &str) -> usize {
-        if name == "leader" {
-            return self.nodes.iter().position(Slot::leads).expect("a leader");
+        self.node_if_any(name).expect("a node")
+    }
+
+    pub fn node_if_any(&self, name: &str) -> Option<usize> {
+        match name {
+            "leader" => self.nodes.iter().position(Slot::leads),
+            _ => self.nodes.iter().position(|slot| slot.name == name),
         }
-        self.nodes.iter().position(|slot| slot.name == name).expect("a node")
     }
 
     pub fn command(&mut self, words: &[&str]) -> Result<(), String> {
@@ -100,8 +104,8 @@
         for (at, zone) in zones.iter().enumerate() {
             let name = format!("n{at}");
             let cuts = HashSet::new();
-            let load = Default::default();
-            self.nodes.push(Slot { node: None, name, zone: (*zone).into(), cuts, life: 0, load });
+            let (load, pace) = Default::default();
+            self.nodes.push(Slot { node: None, name, zone: (*zone).into(), cuts, life: 0, load, pace });
         }
         (0..self.nodes.len()).for_each(|at| self.boot(at));
         Ok(())
@@ -154,10 +158,27 @@
     }
 
     fn abort(&mut self, words: &[&str]) -> Done {
-        let [id] = words else { return wrong("JOB") };
-        let (id, _) = job_of(id)?;
-        self.aborts.insert(id, self.now);
-        self.repeat_aborts();
+        let (id, by) = match words {
+            [id] => (id, None),
+            [id, by] => (id, Some(*by)),
+            _ => return wrong("JOB [first|second: of those that the state service serves]"),
+        };
+        let (id, job) = job_of(id)?;
+        self.aborts.insert(id.clone(), self.now);
+        let served = |at: &usize| !self.cut(*at, "state") && self.nodes[*at].node.is_some();
+        let mut served = (0..self.nodes.len()).filter(served);
+        let by = match by {
+            Some("first") => served.next(),
+            Some(_) => served.nth(1),
+            None => None,
+        };
+        let Some(at) = by else {
+            self.repeat_aborts();
+            return Ok(());
+        };
+        self.aborts.insert(id.clone(), self.now + 1000);
+        let call = self.call(at, Call::User { id, expect: None, raw: false });
+        self.tell(at, Input::User { call, request: UserRequest::Abort { id: job } });
         Ok(())
     }
 
@@ -200,8 +221,10 @@
 
     fn kill(&mut self, words: &[&str]) -> Done {
         let [node] = words else { return wrong("NODE") };
-        let at = self.node(node);
+        let Some(at) = self.node_if_any(node) else { return Ok(()) };
         self.nodes[at].node = None;
+        self.nodes[at].pace.frozen = false;
+        self.nodes[at].pace.missed.clear();
         let open: Vec<(usize, u64)> = self.calls.keys().filter(|(node, _)| *node == at).copied().collect();
         for call in open {
             match self.calls.remove(&call) {
@@ -210,6 +233,10 @@
                 }
                 // The client asks another one.
                 Some(Call::Graph(send)) => drop(self.flows.answered(send, None, self.now)),
+                // The user gets no answer and tries again.
+                Some(Call::User { id, raw: false, .. }) if self.unheard(&id) => {
+                    self.retries.push((self.now + 1000, id));
+                }
                 _ => {}
             }
         }
@@ -239,11 +266,27 @@
 
     fn cut_off(&mut self, words: &[&str]) -> Done {
         let [node, what] = words else { return wrong("NODE WHAT") };
-        let at = self.node(node);
+        if *node == "all" {
+            self.nodes.iter_mut().for_each(|slot| {
+                slot.cuts.insert((*what).into());
+            });
+            return Ok(());
+        }
+        // Of a leader that is not there nothing can be cut off.
+        let Some(at) = self.node_if_any(node) else { return Ok(()) };
         self.nodes[at].cuts.insert((*what).into());
         Ok(())
     }
 
+    /// Whoever was cut off from it is so no more.
+    fn uncut(&mut self, words: &[&str]) -> Done {
+        let [what] = words else { return wrong("WHAT") };
+        self.nodes.iter_mut().for_each(|slot| {
+            slot.cuts.remove(*what);
+        });
+        Ok(())
+    }
+
     fn heal(&mut self, _: &[&str]) -> Done {
         self.nodes.iter_mut().for_each(|slot| slot.cuts.clear());
         self.zone_cuts.clear();
@@ -334,9 +377,13 @@
     }
 
     fn set_txns(&mut self, words: &[&str]) -> Done {
+        self.troubles.late_ms = match words {
+            ["late", seconds] => Some((seconds_of(seconds)? * 1000.0) as u64),
+            _ => None,
+        };
         self.txns = match words {
             ["lost"] => Txns::Lost,
-            ["late"] => Txns::Late,
+            ["late", ..] => Txns::Late,
             _ => Txns::Fine,
         };
         Ok(())
@@ -434,6 +481,7 @@
     ("start-all", World::start_all),
     ("processor", World::processor),
     ("cut", World::cut_off),
+    ("uncut", World::uncut),
     ("heal", World::heal),
     ("part", World::part),
     ("outage", World::set_outage),
@@ -453,13 +501,19 @@
     ("mesh", World::set_mesh),
     ("flash", World::flash),
     ("asks", World::asks),
+    ("deaf", World::set_deaf),
+    ("copies", World::set_copies),
+    ("state", World::set_state),
+    ("freeze", World::freeze),
+    ("thaw", World::thaw),
+    ("clock", World::set_clock),
 ];
 
 pub fn wrong(expected: &str) -> Done {
     Err(format!("expected {expected}"))
 }
 
-fn seconds_of(text: &str) -> Result<f64, String> {
+pub fn seconds_of(text: &str) -> Result<f64, String> {
     text.parse().map_err(|_| format!("expected seconds, not {text}"))
 }
 
