A controller cut off from the state service and from all others sends its users elsewhere

Need: a leader that loses the state service and the other controllers cannot tell that from an outage for all, stayed ready, and its users' submissions were refused for as long. Change: who hears no other controller and is refused counts as alone.

--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -200,8 +200,9 @@
         self.step_graphs(clock, out);
         self.learn_catalog(clock, out);
         self.peers.beat(clock.now, &self.others, self.ledger.reachable(clock.now), out);
-        // At both ends of an outage for all, nodes notice at different moments.
-        let alone = !self.ledger.reachable(clock.now) && self.peers.any_state_ok(clock.now);
+        // At both ends of an outage for all, nodes notice at different moments. Who hears nobody either is cut off.
+        let apart = !self.others.is_empty() && !self.peers.any(clock.now);
+        let alone = !self.ledger.reachable(clock.now) && (apart || self.peers.any_state_ok(clock.now));
         self.alone_since = self.alone_since.or(Some(clock.now)).filter(|_| alone);
         if clock.now >= self.look_around_next {
             self.consider_resigning(clock, out);
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -80,6 +80,11 @@
         self.fresh(now).any(|(name, _)| name == node)
     }
 
+    /// Has any node said something lately?
+    pub fn any(&self, now: Millis) -> bool {
+        self.fresh(now).next().is_some()
+    }
+
     /// Does another node reach the state service?
     pub fn any_state_ok(&self, now: Millis) -> bool {
         self.fresh(now).any(|(_, peer)| peer.state_ok)
