--- a/src/coordination/leader/machines/orders.rs
+++ b/src/coordination/leader/machines/orders.rs
@@ -78,7 +78,7 @@
         for ix in std::mem::take(&mut self.to_tell) {
             let machine = &self.machines[ix.at()];
             if machine.life != Life::Up || machine.direct_open || clock.now < machine.direct_after {
-                if machine.deaf() {
+                if machine.deaf() && machine.life == Life::Up {
                     self.to_tell.insert(ix);
                 }
                 continue;
@@ -158,7 +158,7 @@
         } else if machine.deaf() {
             self.to_tell.insert(direct.machine);
         } else if outcome == DirectOutcome::Unknown && machine.life == Life::Up && !direct.runs.is_empty() {
-            self.not_heard(direct.machine, clock);
+            self.not_heard(direct.machine);
         }
     }
 }
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -157,6 +157,10 @@
         let sent = |binding: &Binding| {
             binding.late || !matches!(binding.run, Run::Planned | Run::Recorded | Run::Inherited)
         };
+        let open = |binding: &Binding| binding.late || matches!(binding.run, Run::Answered { .. });
+        if self.machines[ix.at()].bindings.iter().any(open) {
+            self.not_heard(ix);
+        }
         while let Some(at) = self.machines[ix.at()].bindings.iter().position(sent) {
             let binding = self.detach(ix, at, clock);
             self.journal.note(binding.task.job, EventWord::MachineGone, Some(ix), binding.task.task, 1);
@@ -174,10 +178,10 @@
             (Some(at), TaskState::Exited(cause)) => self.exited(ix, at, piece, cause, clock),
             (Some(at), state) => {
                 let machine = &mut self.machines[ix.at()];
-                let binding = &mut machine.bindings[at];
-                if !matches!(binding.run, Run::Seen | Run::Inherited) {
+                if !matches!(machine.bindings[at].run, Run::Seen | Run::Inherited) {
                     machine.unheard_runs = 0;
                 }
+                let binding = &mut machine.bindings[at];
                 binding.run = Run::Seen;
                 if binding.state != Some(state) {
                     log::debug!("{} {:?} on {}", piece.task, state, ix.0);
@@ -249,7 +253,7 @@
     fn absent(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
         let shown: HashSet<(TaskRef, Attempt)> =
             report.pieces.iter().map(|piece| (piece.task, piece.attempt)).collect();
-        let deaf = self.dropped_answer(ix, report.tick, clock);
+        let deaf = self.dropped_answer(ix, report.tick);
         let mut at = 0;
         while let Some(binding) = self.machines[ix.at()].bindings.get_mut(at) {
             if shown.contains(&(binding.task, binding.attempt)) {
--- a/src/coordination/leader/machines/silence.rs
+++ b/src/coordination/leader/machines/silence.rs
@@ -1,7 +1,7 @@
 //! Machines that are not heard from: when are they certainly empty, and what to do until then.
 
 use crate::coordination::Clock;
-use crate::coordination::leader::{Binding, DEAF_RUNS, Leader, Life, Machine, Run};
+use crate::coordination::leader::{Binding, Leader, Life, Machine, Run};
 use crate::coordination::leadership::slack_ms;
 use crate::ids::{MachineIx, Millis};
 
@@ -81,21 +81,20 @@
     }
 
     /// The machine reports and shows nothing of what it was told with the answer before. True: it is taken for deaf.
-    pub(super) fn dropped_answer(&mut self, ix: MachineIx, tick: u64, clock: Clock) -> bool {
+    pub(super) fn dropped_answer(&mut self, ix: MachineIx, tick: u64) -> bool {
         let machine = &mut self.machines[ix.at()];
         let lacks = |binding: &Binding| matches!(binding.run, Run::Answered { tick: told } if told < tick);
         if machine.bindings.iter().any(lacks) {
-            self.not_heard(ix, clock);
+            self.not_heard(ix);
         }
         self.machines[ix.at()].deaf()
     }
 
     /// What was sent to it has not arrived, or is not known to have.
-    pub(super) fn not_heard(&mut self, ix: MachineIx, clock: Clock) {
+    pub(super) fn not_heard(&mut self, ix: MachineIx) {
         let machine = &mut self.machines[ix.at()];
         let before = machine.deaf();
         machine.unheard_runs += 1;
-        machine.deaf_until = clock.now.plus(self.settings.workers.lease_ms);
         if machine.deaf() && !before {
             let name = machine.name.as_str();
             log::info!(event = "machine_deaf", machine = name; "machine {name} reports but hears nothing");
@@ -109,11 +108,6 @@
     pub fn expire(&mut self, clock: Clock) {
         for at in 0..self.machines.len() {
             let ix = MachineIx(at as u32);
-            if self.machines[at].deaf() && clock.now >= self.machines[at].deaf_until {
-                // Perhaps only direct commands do not arrive: it is tried once more.
-                self.machines[at].unheard_runs = DEAF_RUNS - 1;
-                self.refresh(ix);
-            }
             let machine = &self.machines[at];
             if machine.life != Life::Up || clock.now < self.empty_at(machine) {
                 continue;
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Hindrance {
     Full,
-    /// Not up, not confirmed, going back, sick, slow or taken back soon.
+    /// Not up, not confirmed, deaf, going back, sick, slow or taken back soon.
     Closed,
     /// Its type, zone or kind (spot) is not allowed.
     Excluded,
