--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,9 +1,10 @@
-//! Runs every file of `tests/scenarios/` in virtual time. A failure names file and line.
+//! Runs every file of `tests/scenarios/` in virtual time, each as a test of its own name. A failure names file and line.
 
 mod world;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
+use libtest_mimic::{Arguments, Failed, Trial};
 use world::World;
 
 /// Plays one file; the error names the line.
@@ -17,34 +18,59 @@
             continue;
         }
         lines += 1;
+        log::info!("{} s: {line}", world.now as f64 / 1000.0);
         let place = || format!("{}:{}: {line}", path.display(), at + 1);
         world.command(&words).map_err(|problem| format!("{}: {problem}", place()))?;
     }
     if lines == 0 { Err(format!("{}: empty", path.display())) } else { Ok(()) }
 }
 
-#[test]
-fn every_scenario_holds() {
+fn name(path: &Path) -> String {
+    path.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default()
+}
+
+fn files() -> Vec<PathBuf> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
-    let only = std::env::var("SCENARIO").ok();
-    let mut files: Vec<_> = std::fs::read_dir(folder)
-        .expect("the scenarios")
-        .filter_map(|entry| Some(entry.ok()?.path()))
-        .filter(|path| only.as_ref().is_none_or(|only| path.to_string_lossy().contains(only.as_str())))
-        .collect();
+    let entries = std::fs::read_dir(folder).expect("the scenarios");
+    let mut files: Vec<PathBuf> = entries.filter_map(|entry| Some(entry.ok()?.path())).collect();
     files.sort();
     assert!(!files.is_empty(), "no scenarios");
-    let failed: Vec<String> = files.iter().filter_map(|path| play(path).err()).collect();
-    assert!(failed.is_empty(), "{} of {} scenarios:\n{}", failed.len(), files.len(), failed.join("\n"));
+    files
 }
 
 /// The runner itself must be able to fail, and must say where.
-#[test]
-fn a_wrong_scenario_fails_and_names_its_line() {
+fn a_wrong_scenario_fails_and_names_its_line() -> Result<(), Failed> {
     let path = std::env::temp_dir().join(format!("olivelatch-wrong-{}.txt", std::process::id()));
-    std::fs::write(&path, "team core\nkind k\nnodes a\nuntil 5 done 1\n").expect("a file");
+    std::fs::write(&path, "team core\nkind k\nnodes a\nuntil 5 done 1\n")?;
     let result = play(&path);
     let _ = std::fs::remove_file(&path);
-    let problem = result.expect_err("it cannot hold");
-    assert!(problem.contains(":4: until 5 done 1"), "{problem}");
+    match result {
+        Err(problem) if problem.contains(":4: until 5 done 1") => Ok(()),
+        Err(problem) => Err(problem.into()),
+        Ok(()) => Err("it cannot hold".into()),
+    }
+}
+
+fn main() {
+    // LOG_LEVEL=info SCENARIO=steal: what the controllers say of it.
+    if std::env::var("LOG_LEVEL").is_ok() {
+        olivelatch::logging::start("scenario", olivelatch::tunables::LogFormat::Text);
+    }
+    let mut arguments = Arguments::from_args();
+    // Part of a name, where the command line names none.
+    if let Ok(only) = std::env::var("SCENARIO") {
+        arguments.filter = Some(only);
+    }
+    let scenario = |path: PathBuf| {
+        Trial::test(name(&path), move || {
+            Ok(std::panic::catch_unwind(|| play(&path))
+                .unwrap_or_else(|_| Err(format!("{}: panicked", path.display())))?)
+        })
+    };
+    let mut trials: Vec<Trial> = files().into_iter().map(scenario).collect();
+    trials.push(Trial::test(
+        "a_wrong_scenario_fails_and_names_its_line",
+        a_wrong_scenario_fails_and_names_its_line,
+    ));
+    libtest_mimic::run(&arguments, trials).exit();
 }
