A new session has a lease of its own: mute machines are not taken for empty too early

Cause: machines whose reports reach nobody while direct commands do (machine_mute). After a takeover the leader counted their lease from when they showed its token; their next session began later, and tasks sent straight into it were started elsewhere 15 s before their end. Change: a machine is empty a lease after its session was first seen, too.

--- a/src/coordination/leader/machine.rs
+++ b/src/coordination/leader/machine.rs
@@ -83,6 +83,8 @@
     /// When it was rented, as far as known.
     pub since: Millis,
     pub session: Session,
+    /// When its session was first seen: the session's lease began no later.
+    pub session_seen: Option<Millis>,
     pub tick: u64,
     /// Session and number of the newest report that came as such.
     pub reported: (Session, u64),
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -124,6 +124,7 @@
     fn observe(&mut self, ix: MachineIx, clock: Clock, report: &Report) {
         let before = self.machines[ix.at()].session;
         if report.session > before {
+            self.machines[ix.at()].session_seen = Some(clock.now);
             self.new_session(ix, before, report.session, clock);
         }
         let machine = &mut self.machines[ix.at()];
--- a/src/coordination/leader/machines/silence.rs
+++ b/src/coordination/leader/machines/silence.rs
@@ -50,18 +50,18 @@
         }
     }
 
-    /// When a machine that stays silent is certainly empty.
+    /// When a machine that stays silent is certainly empty: a lease after the latest moment at which a lease may have
+    /// begun. An answered report begins one, and so does a new session, in which direct commands start tasks although
+    /// they renew nothing.
     fn empty_at(&self, machine: &Machine) -> Millis {
         let lease = self.settings.workers.lease_ms;
-        let slack = slack_ms(lease);
-        match machine.answered {
+        let ended = |began: Millis| began.plus(lease + slack_ms(lease));
+        let began = machine.answered.max(machine.session_seen);
+        match began.max(machine.shown) {
             // No other leader's answer to a report sent after it showed our token counts.
-            _ if machine.confirmed && machine.answered.max(machine.shown).is_some() => {
-                machine.answered.max(machine.shown).unwrap_or_default().plus(lease + slack)
-            }
+            Some(began) if machine.confirmed => ended(began),
             // An earlier leader, or our own first answers, may have kept it alive.
-            Some(answered) => answered.plus(lease + slack).max(self.inherited_until),
-            None => self.inherited_until,
+            _ => began.map_or(self.inherited_until, |began| ended(began).max(self.inherited_until)),
         }
     }
 
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -445,6 +445,7 @@
             running: false,
             since: clock.now,
             session: Session(0),
+            session_seen: None,
             tick: 0,
             reported: (Session(0), 0),
             confirmed: false,
--- a/tests/world/conditions.rs
+++ b/tests/world/conditions.rs
@@ -97,6 +97,12 @@
             ["counter", name, op, right] => {
                 compare(self.counters.get(*name).copied().unwrap_or(0), op, right)
             }
+            ["on", host, op, right] => {
+                let worker = self.workers.iter().find(|worker| worker.machine.name == *host);
+                worker.is_some_and(|worker| compare(on(worker), op, right))
+            }
+            // Tasks that ended with the lease of their worker.
+            ["lost_with_lease", op, right] => compare(self.troubles.lost_with_lease, op, right),
             ["machines", op, right] => compare(self.cloud.machines.len() as u64, op, right),
             ["workers", op, right] => compare(self.workers.len() as u64, op, right),
             ["tasks", op, right] => compare(self.workers.iter().map(on).sum(), op, right),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -32,7 +32,7 @@
 use olivelatch::tunables::Tunables;
 use olivelatch_region::Cloud;
 use olivelatch_store::Engine;
-use olivelatch_worker::{Description, Descriptions, GangTimes, Work, Worker, coordinate};
+use olivelatch_worker::{Description, Descriptions, Effect, GangTimes, Work, Worker, coordinate};
 use serde_json::{Value, json};
 use troubles::{Pace, Troubles};
 
@@ -620,7 +620,9 @@
         let times = GangTimes { wait_ms: time("gang_wait_s") as u64, peer_ms: time("gang_peer_s") as u64 };
         coordinate(&mut self.workers, self.now, times, &self.jobs, &mut self.broken_gangs);
         // Nothing runs here but in virtual time.
-        self.workers.iter_mut().for_each(|worker| drop(worker.take_effects()));
+        let effects = self.workers.iter_mut().flat_map(|worker| worker.take_effects());
+        let killed = effects.filter(|effect| matches!(effect, Effect::Kill { .. })).count();
+        self.troubles.lost_with_lease += killed as u64;
     }
 
     fn boot_machines(&mut self) {
@@ -658,7 +660,7 @@
             self.worker_node[at] = ((node + 1) % self.nodes.len(), self.now + 1000, None);
             return;
         }
-        if !self.reaches(node, at) {
+        if !self.reaches(node, at) || self.troubles.mute.contains(&self.workers[at].machine.name) {
             return;
         }
         let report = read_report(body.as_bytes()).expect("a report of the protocol's form");
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -7,6 +7,7 @@
 use olivelatch::ids::Millis;
 use olivelatch::protocol::Outcome;
 use olivelatch::protocol::workers::read_report;
+use olivelatch_worker::Worker;
 
 use super::verbs::{Done, seconds_of, wrong};
 use super::{START_MS, World};
@@ -16,6 +17,8 @@
 pub struct Troubles {
     /// Machines whose reports arrive, but nothing that they are told.
     pub deaf: HashSet<String>,
+    /// Machines whose reports reach nobody, while direct commands reach them.
+    pub mute: HashSet<String>,
     /// After how long copies of reports arrive again, in turn; none: they do not.
     copies: Vec<u64>,
     copied: Vec<(u64, usize, Vec<u8>)>,
@@ -27,6 +30,8 @@
     txns: Vec<(u64, Vec<u8>)>,
     /// How long a withdrawn job's task was there at most after its user had been told.
     pub longest_stay: u64,
+    /// Tasks that were killed as their worker's lease ended.
+    pub lost_with_lease: u64,
     /// When a question about a job was last answered.
     pub known: BTreeMap<String, u64>,
 }
@@ -42,6 +47,17 @@
     pub missed: Vec<Input>,
 }
 
+/// Machines by name, `all` or `none` of them.
+fn name_machines(named: &mut HashSet<String>, workers: &[Worker], words: &[&str]) {
+    for host in words {
+        match *host {
+            "none" => named.clear(),
+            "all" => named.extend(workers.iter().map(|worker| worker.machine.name.clone())),
+            host => drop(named.insert(host.into())),
+        }
+    }
+}
+
 impl World {
     pub fn longest_stay(&self) -> u64 {
         self.troubles.longest_stay
@@ -107,16 +123,14 @@
     }
 
     pub fn set_deaf(&mut self, words: &[&str]) -> Done {
-        for host in words {
-            match *host {
-                "none" => self.troubles.deaf.clear(),
-                "all" => {
-                    let all = self.workers.iter().map(|worker| worker.machine.name.clone());
-                    self.troubles.deaf.extend(all);
-                }
-                host => drop(self.troubles.deaf.insert(host.into())),
-            }
-        }
+        let workers = &self.workers;
+        name_machines(&mut self.troubles.deaf, workers, words);
+        Ok(())
+    }
+
+    pub fn set_mute(&mut self, words: &[&str]) -> Done {
+        let workers = &self.workers;
+        name_machines(&mut self.troubles.mute, workers, words);
         Ok(())
     }
 
--- a/tests/world/verbs.rs
+++ b/tests/world/verbs.rs
@@ -514,6 +514,7 @@
     ("asks", World::asks),
     ("watch", World::watch_job),
     ("deaf", World::set_deaf),
+    ("mute", World::set_mute),
     ("copies", World::set_copies),
     ("state", World::set_state),
     ("freeze", World::freeze),
