Ends are told when no controller can answer older: watermarks of what each has read

Also a leader that had not seen a cancellation went on starting tasks after its user had been told. Change: an end is told when every other node has said it has read up to it, or a read's longest age has passed; a cancellation also when the leader knows it or starts nothing any more. Reads older than 1.2 s decide no answer. New mesh word at the end of the enum.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -49,6 +49,8 @@
     /// In the order of their ids, for lists.
     index: BTreeMap<JobId, JobIx>,
     ended: BTreeMap<JobId, Ended>,
+    /// Ends learned since that was last asked.
+    new_ends: Vec<NewEnd>,
     pub accounts: Accounts,
     details: BTreeMap<JobId, Detail>,
     /// Versions of the keys that the leader rewrites.
@@ -60,6 +62,14 @@
     pub graphs: Graphs,
 }
 
+/// An end that was learned a moment ago.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewEnd {
+    pub id: JobId,
+    pub revision: Revision,
+    pub cancelled: bool,
+}
+
 /// How and when a job ended; what its user was told counts for its party, if that is known.
 #[derive(Debug, Clone, Copy)]
 struct Ended {
@@ -184,6 +194,11 @@
         }
     }
 
+    /// Ends learned since that was last asked.
+    pub fn take_new_ends(&mut self) -> Vec<NewEnd> {
+        std::mem::take(&mut self.new_ends)
+    }
+
     /// Takes in a change that this node made and that was confirmed.
     pub fn apply_own(&mut self, pair: &Pair) -> Option<Seen> {
         let seen = self.apply(pair);
@@ -220,6 +235,7 @@
                     self.details.insert(*id, detail);
                 }
                 let end = record.end();
+                self.new_ends.push(NewEnd { id: *id, revision: stamp, cancelled: end == End::Withdrawn });
                 if let Some(job) = self.job_mut(*id) {
                     job.end = Some((end, record.at));
                 }
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -40,7 +40,7 @@
 }
 
 const PAGE: u32 = 500;
-const POLL_TIMEOUT_MS: u64 = 1200;
+pub const POLL_TIMEOUT_MS: u64 = 1200;
 const TXN_TIMEOUT_MS: u64 = 1500;
 /// Trouble that is over by then was none.
 const HICCUP_MS: u64 = 500;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod operators;
 pub mod peers;
 pub mod users;
+pub mod watermarks;
 
 use crate::ids::Millis;
 use crate::protocol::cloud::CloudRequest;
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod graphs;
 mod operators;
+mod watermarks;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -20,7 +21,8 @@
 use crate::coordination::ledger::{Answered, Ledger, Purpose};
 use crate::coordination::operators::Operators;
 use crate::coordination::peers::Peers;
-use crate::coordination::users::Users;
+use crate::coordination::users::{Records, Users};
+use crate::coordination::watermarks::{READ_AGE_MS, Watermarks};
 use crate::coordination::{AskId, CallId, Clock, Input, Output};
 use crate::ids::{Millis, Revision, Token};
 use crate::protocol::cloud::{CloudReply, CloudRequest};
@@ -62,6 +64,7 @@
     next_direct: u64,
     catalog_next: Millis,
     peers: Peers,
+    watermarks: Watermarks,
     others: Vec<String>,
     now: Millis,
     /// Since when only this node has trouble with the state service.
@@ -82,7 +85,7 @@
 impl Node {
     pub fn new(settings: Settings, tunables: Tunables, seed: u64, clock: Clock) -> Node {
         let life_ms = (tunables.leader_life_s * 1000.0) as u64;
-        let others = settings.others.iter().map(|other| other.node.clone()).collect();
+        let others: Vec<String> = settings.others.iter().map(|other| other.node.clone()).collect();
         let operators = tunables.operators.clone();
         let graphs = tunables.graphs.enabled;
         Node {
@@ -106,6 +109,7 @@
             next_direct: DIRECT_ASK,
             catalog_next: Millis::default(),
             peers: Peers::default(),
+            watermarks: Watermarks::new(&others),
             others,
             now: clock.now,
             alone_since: None,
@@ -160,8 +164,9 @@
         match input {
             Input::Tick => {}
             Input::User { call, request } => {
-                let (ledger, mirror) = (&self.ledger, &self.mirror);
-                let answer = self.users.take(clock, call, request, ledger, mirror, &self.settings);
+                let records =
+                    Records { mirror: &self.mirror, watermarks: &self.watermarks, settings: &self.settings };
+                let answer = self.users.take(clock, call, request, &self.ledger, &records);
                 out.extend(answer.map(|answer| Output::Answer { call, answer }));
             }
             Input::Report { call, report } => self.report(clock, call, &report, &mut out),
@@ -191,6 +196,7 @@
         let wanted = asked || self.taking_over.is_some() || favoured;
         let kept = usize::from(self.users.writes_wait()) + usize::from(self.leader.is_some());
         self.ledger.keep_fresh(clock, wanted, due, kept, &self.mirror, out);
+        self.settle(clock, out);
         self.users.expire(clock, self.ledger.reachable(clock.now), out);
         if self.operators.enabled {
             self.operators_overdue(clock, out);
@@ -337,13 +343,16 @@
             return;
         };
         self.state_told(clock, answered, out);
+        self.learn_ends(clock);
         self.adopt_ready(clock);
     }
 
     fn state_told(&mut self, clock: Clock, answered: Answered, out: &mut Vec<Output>) {
         match answered.purpose {
             Purpose::Page => {
-                if self.ledger.take_page(answered.reply, &mut self.mirror) {
+                let whole = self.ledger.take_page(answered.reply, &mut self.mirror);
+                self.learn_all(clock);
+                if whole {
                     self.mirror.forget_old_ends();
                     log::info!("records read up to revision {}", self.mirror.revision.0);
                 }
@@ -403,13 +412,19 @@
             self.step_down();
             return;
         };
+        self.learn_ends(clock);
         self.notice(clock, &seen);
         if !served {
             return;
         }
-        let mut users = std::mem::take(&mut self.users);
-        users.barrier(sent, &self.mirror, &self.settings, &|id| self.running(id), out);
-        self.users = users;
+        // By then another node may have told of what this read does not show: users wait for the next one.
+        if clock.now.since(sent) < READ_AGE_MS {
+            let mut users = std::mem::take(&mut self.users);
+            let records =
+                Records { mirror: &self.mirror, watermarks: &self.watermarks, settings: &self.settings };
+            users.barrier(clock, sent, &records, &|id| self.running(id), out);
+            self.users = users;
+        }
         self.answer_operators(clock, sent, out);
         self.take_over(clock);
     }
@@ -564,12 +579,8 @@
                 self.ledger.look_now();
             }
             MeshMessage::Hello { .. } => {}
-            MeshMessage::Poke { revision } => {
-                log::debug!("{node} has written revision {revision}");
-                if revision > self.mirror.revision.0 {
-                    self.ledger.look_now();
-                }
-            }
+            MeshMessage::Poke { revision } => self.poked(node, revision, out),
+            MeshMessage::Read { revision } => self.watermarks.told(node, Revision(revision)),
             MeshMessage::Ask { ask, question } => self.asked_by_node(clock, node, ask, &question, out),
             MeshMessage::Told { ask, status, retry_after_s, body } => {
                 let answer = Answer { status, retry_after_s, ..Answer::raw(body) };
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -2,6 +2,7 @@
 //! and what has to be written first.
 
 use super::ledger::{Answered, Ledger, Purpose};
+use super::watermarks::{READ_AGE_MS, Watermarks};
 use super::{CallId, Clock, Output};
 use crate::bookkeeping::graph_records::NodeEnd;
 use crate::bookkeeping::jobs::{End, need_of};
@@ -55,12 +56,27 @@
     /// Graphs may be accepted: submissions are guarded against names that became known with one.
     graphs: bool,
     waiting: Vec<Waiting>,
+    /// About jobs whose end is known, but may not be told yet.
+    held: Vec<Waiting>,
     queued: Vec<(Write, Millis)>,
     writing: Vec<(Write, Millis)>,
     /// Jobs whose users were told that they are done, since that was last asked.
     told: Vec<JobId>,
 }
 
+/// What a request is decided by.
+pub struct Records<'a> {
+    pub mirror: &'a Mirror,
+    pub watermarks: &'a Watermarks,
+    pub settings: &'a Settings,
+}
+
+impl Records<'_> {
+    fn stable(&self, id: JobId, now: Millis) -> bool {
+        self.watermarks.stable(id, now, self.mirror.revision, self.mirror.leader.as_ref())
+    }
+}
+
 /// Tells how many tasks of a job run, for display.
 pub type Running<'a> = &'a dyn Fn(JobId) -> u32;
 
@@ -74,10 +90,7 @@
     }
 
     /// Ends never change, so the mirror's word is enough.
-    fn final_answer(&mut self, request: &UserRequest, mirror: &Mirror) -> Option<Answer> {
-        let id = match request {
-            UserRequest::Submit { id, .. } | UserRequest::Poll { id } | UserRequest::Abort { id } => *id,
-        };
+    fn final_answer(&mut self, id: JobId, mirror: &Mirror) -> Option<Answer> {
         let status = match mirror.end_of(id)? {
             End::Done => JobStatus::Done,
             End::Withdrawn => JobStatus::Withdrawn,
@@ -100,7 +113,7 @@
 
     /// Requests that wait for an answer and have not been sent to the state service.
     pub fn held(&self) -> usize {
-        self.waiting.len() + self.queued.len()
+        self.waiting.len() + self.held.len() + self.queued.len()
     }
 
     /// A request comes in: its answer, if it can be answered at once.
@@ -110,11 +123,12 @@
         call: CallId,
         request: UserRequest,
         ledger: &Ledger,
-        mirror: &Mirror,
-        settings: &Settings,
+        records: &Records<'_>,
     ) -> Option<Answer> {
-        if let Some(answer) = self.final_answer(&request, mirror) {
-            return Some(answer);
+        let (id, mirror) = (request.id(), records.mirror);
+        let ended = mirror.end_of(id).is_some();
+        if ended && records.stable(id, clock.now) {
+            return self.final_answer(id, mirror);
         }
         if !ledger.loaded || !ledger.reachable(clock.now) || self.held() >= MOST_WAITING {
             return Some(Answer::later("cannot decide now", COME_BACK_S));
@@ -125,12 +139,13 @@
         };
         let until = clock.now.plus(patience);
         match request {
+            request if ended => self.held.push(Waiting { call, request, arrived: clock.now, until }),
             // The transaction's guards find out whether the name is known after all: nothing
             // has to be read first, which made half of the time that a submission took.
             UserRequest::Submit { id, spec: Ok(spec) }
                 if mirror.find(id).is_none()
                     && !mirror.graphs.knows(id)
-                    && judge(&spec, mirror, settings).is_ok() =>
+                    && judge(&spec, mirror, records.settings).is_ok() =>
             {
                 self.queued.push((Write::Accept { call, id, spec }, until));
             }
@@ -142,9 +157,9 @@
     /// The mirror holds everything up to a read that was sent at `sent`.
     pub fn barrier(
         &mut self,
+        clock: Clock,
         sent: Millis,
-        mirror: &Mirror,
-        settings: &Settings,
+        records: &Records<'_>,
         running: Running<'_>,
         out: &mut Vec<Output>,
     ) {
@@ -152,20 +167,47 @@
             std::mem::take(&mut self.waiting).into_iter().partition(|waiting| waiting.arrived <= sent);
         self.waiting = rest;
         for waiting in ripe {
-            self.decide(waiting, mirror, settings, running, out);
+            self.decide(clock, waiting, records, running, out);
+        }
+    }
+
+    /// Answers what waited until an end may be told.
+    pub fn settle(&mut self, clock: Clock, records: &Records<'_>, out: &mut Vec<Output>) {
+        if self.held.is_empty() {
+            return;
+        }
+        let stable = |waiting: &Waiting| records.stable(waiting.request.id(), clock.now);
+        let (ripe, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held).into_iter().partition(stable);
+        self.held = rest;
+        for waiting in ripe {
+            match self.final_answer(waiting.request.id(), records.mirror) {
+                Some(answer) => out.push(Output::Answer { call: waiting.call, answer }),
+                // The records are being read anew.
+                None => self.waiting.push(waiting),
+            }
         }
     }
 
+    /// The job that somebody has waited longest for to be told of.
+    pub fn held_end(&self) -> Option<JobId> {
+        self.held.first().map(|waiting| waiting.request.id())
+    }
+
     fn decide(
         &mut self,
+        clock: Clock,
         waiting: Waiting,
-        mirror: &Mirror,
-        settings: &Settings,
+        records: &Records<'_>,
         running: Running<'_>,
         out: &mut Vec<Output>,
     ) {
-        let call = waiting.call;
-        if let Some(answer) = self.final_answer(&waiting.request, mirror) {
+        let Records { mirror, settings, .. } = *records;
+        let (call, id) = (waiting.call, waiting.request.id());
+        if mirror.end_of(id).is_some() && !records.stable(id, clock.now) {
+            self.held.push(waiting);
+            return;
+        }
+        if let Some(answer) = self.final_answer(id, mirror) {
             out.push(Output::Answer { call, answer });
             return;
         }
@@ -210,6 +252,14 @@
             }
             !over
         });
+        // Their ends are durable: they need the state service no more.
+        self.held.retain(|waiting| {
+            let over = waiting.until <= clock.now;
+            if over {
+                refuse(waiting.call);
+            }
+            !over
+        });
         self.queued.retain(|(write, until)| {
             let over = overdue(*until);
             if over {
@@ -287,8 +337,8 @@
         match answered.reply {
             StateReply::Applied { revision } => {
                 apply_changes(&answered.request, revision, mirror);
-                for (write, _) in writing {
-                    out.push(accepted(&write));
+                for (write, until) in writing {
+                    self.carried_out(clock, write, until, answered.sent, out);
                 }
                 true
             }
@@ -312,6 +362,33 @@
         }
     }
 
+    fn carried_out(
+        &mut self,
+        clock: Clock,
+        write: Write,
+        until: Millis,
+        sent: Millis,
+        out: &mut Vec<Output>,
+    ) {
+        match write {
+            // By then its user may have heard of its end from another node: asking again tells.
+            Write::Accept { call, .. } if clock.now.since(sent) >= READ_AGE_MS => {
+                let answer = Answer::later("stored too long ago", COME_BACK_S);
+                out.push(Output::Answer { call, answer });
+            }
+            Write::Accept { call, id, .. } => {
+                log::info!(event = "accepted", job:% = id; "accepted {id}");
+                let answer = status_answer(201, id, JobStatus::Pending, None);
+                out.push(Output::Answer { call, answer });
+            }
+            Write::Withdraw { call, id, .. } => {
+                log::info!(event = "withdrawn", job:% = id; "withdrawn {id}");
+                let request = UserRequest::Abort { id };
+                self.held.push(Waiting { call, request, arrived: clock.now, until });
+            }
+        }
+    }
+
     /// Somebody else was first with some of the keys: those are looked up again.
     fn again(&mut self, clock: Clock, writing: Vec<(Write, Millis)>, failed: &[String]) {
         for (write, until) in writing {
@@ -372,20 +449,6 @@
     }
 }
 
-fn accepted(write: &Write) -> Output {
-    let (call, answer) = match write {
-        Write::Accept { call, id, .. } => {
-            log::info!(event = "accepted", job:% = id; "accepted {id}");
-            (*call, status_answer(201, *id, JobStatus::Pending, None))
-        }
-        Write::Withdraw { call, id, .. } => {
-            log::info!(event = "withdrawn", job:% = id; "withdrawn {id}");
-            (*call, status_answer(200, *id, JobStatus::Withdrawn, None))
-        }
-    };
-    Output::Answer { call, answer }
-}
-
 /// Takes the changes of a confirmed transaction into the mirror.
 pub fn apply_changes(request: &StateRequest, revision: Revision, mirror: &mut Mirror) {
     let StateRequest::Txn { changes, .. } = request else {
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -9,7 +9,7 @@
 pub enum MeshMessage {
     /// First frame of a connection: which node is calling.
     Hello { node: String },
-    /// Something was accepted or withdrawn at this revision; the leader may want to look.
+    /// Something was accepted or has ended at this revision; the receiver may want to look, and says how far it has read.
     Poke { revision: u64 },
     /// Once a second: is the state service answering, and how many workers that
     /// belong to the leader have turned up here lately, or at nodes heard from here?
@@ -20,6 +20,8 @@
     Ask { ask: u64, question: Question },
     /// The leader's answer, ready to be passed on.
     Told { ask: u64, status: u16, retry_after_s: Option<u32>, body: Vec<u8> },
+    /// The sender has read the records up to this revision, and answers with nothing older.
+    Read { revision: u64 },
 }
 
 /// What operators may ask of the leader.
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -94,6 +94,15 @@
     },
 }
 
+impl UserRequest {
+    /// The job that it is about.
+    pub fn id(&self) -> JobId {
+        match self {
+            UserRequest::Submit { id, .. } | UserRequest::Poll { id } | UserRequest::Abort { id } => *id,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct StatusWire {
     uid: String,
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -136,7 +136,7 @@
     let host = format!("host-{:06}", rng.random_range(0..6));
     let other = format!("host-{:06}", rng.random_range(0..6));
     let node = one_of(rng, &["leader?", "n0", "n1", "n2"]);
-    match rng.random_range(0..18) {
+    match rng.random_range(0..22) {
         0 => flash("leader?", [40, 200, 1_000, 6_000][rng.random_range(0..4)]),
         1 => {
             let mut all: Trouble = (0..nodes).map(|at| (0, format!("kill n{at}"))).collect();
@@ -154,7 +154,7 @@
         6 => lasting(&[&format!("cut {node} polls")], for_ms, &["uncut polls"]),
         7 => lasting(&["outage on"], for_ms, &["outage off"]),
         8 => lasting(
-            &[&format!("state slow {}", one_of(rng, &["0.1", "0.4", "0.9", "1.3"]))],
+            &[&format!("state {}", one_of(rng, &["slow 0.1", "slow 0.4", "slow 0.9", "slow 1.3", "uneven"]))],
             for_ms,
             &["state fine"],
         ),
@@ -174,12 +174,20 @@
         ),
         15 => lasting(&["direct lost"], for_ms.min(15_000), &["direct fine", "deliver"]),
         16 => lasting(&["mesh held"], for_ms, &["mesh fine", "deliver"]),
+        17 => lasting(&[&format!("mute {host} {other}")], for_ms, &["mute none"]),
+        18 => lasting(&["mute all"], for_ms.min(15_000), &["mute none"]),
+        19 => lasting(&["copies next"], for_ms, &["copies none"]),
+        20 => lasting(
+            &[&format!("cloud-answers late {}", one_of(rng, &["1", "2.5", "9"]))],
+            for_ms,
+            &["cloud-answers fine"],
+        ),
         _ => lasting(&[&format!("freeze {node}")], for_ms, &["thaw"]),
     }
 }
 
 /// Whatever is still wrong is over.
-const MENDED: [&str; 15] = [
+const MENDED: [&str; 18] = [
     "heal",
     "outage off",
     "state fine",
@@ -188,6 +196,8 @@
     "direct fine",
     "copies none",
     "deaf none",
+    "mute none",
+    "cloud-answers fine",
     "unhang host-000000",
     "unhang host-000001",
     "unhang host-000002",
@@ -195,6 +205,7 @@
     "thaw",
     "start-all",
     "until 30 leader = any",
+    "calm",
 ];
 
 fn zones(nodes: usize) -> String {
@@ -242,15 +253,12 @@
 /// Two or three troubles over one another, with jobs of every shape, long tasks, cancellations and questions.
 fn meetings(seed: u64) -> Plan {
     const LONG: std::ops::Range<usize> = 30..36;
+    const AT_END: [usize; 3] = [20, 40, 60];
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
     let nodes = if seed % 3 == 0 { 5 } else { 3 };
-    let mut head = lines(&[
-        "team core max=16",
-        "team guest",
-        "team single max=1",
-        "team long",
-        "kind small cpus=4 boot=4 count=7 zones=a,b",
-    ]);
+    let mut head = lines(&["team core max=16", "team guest max=14", "team single max=1", "team long max=4"]);
+    let boot = ["0.5", "1", "4"][rng.random_range(0..3)];
+    head.push(format!("kind small cpus=4 boot={boot} count=7 zones=a,b"));
     head.push(format!("nodes {}", zones(nodes)));
     head.extend(lines(&[
         "until 6 leader = any",
@@ -264,7 +272,12 @@
     ]));
     head.extend(LONG.map(|job| format!("submit {job} tasks=1 run=900 team=long")));
     head.push("advance 16".into());
-    head.extend([1, 2, 3, 5, 6, 8].map(|job| format!("watch {job}")));
+    // Two questions of one user may be open at once, at different nodes.
+    head.extend([1, 2, 3, 5, 6, 8].map(|job| format!("asks {job} 1")));
+    head.extend(lines(&["close-looks on", "cancels-at-end 20"]));
+    if seed % 4 == 1 {
+        head.push("state uneven".into());
+    }
     let count = rng.random_range(2..4);
     let mut troubles = Vec::new();
     let mut begin = 0;
@@ -278,7 +291,8 @@
     for job in LONG {
         users.push((rng.random_range(0..begin + 20_000), format!("abort {job}")));
     }
-    for job in 10..16 {
+    // The last ones are cancelled as they end.
+    for job in (10..16).chain(AT_END) {
         users.push((rng.random_range(0..begin + 20_000), format!("submit {job} tasks=2 run=2")));
     }
     let mut tail = lines(&MENDED);
@@ -286,6 +300,7 @@
     tail.push(format!("until 75 known 7 {}", ends.map(|job| job.to_string()).join(" ")));
     tail.extend(LONG.map(|job| format!("until 60 withdrawn {job}")));
     tail.extend(ends.map(|job| format!("until 400 done {job}")));
+    tail.extend(AT_END.map(|job| format!("until 60 ended {job}")));
     tail.extend(lines(&[
         "abort 7",
         "until 60 withdrawn 7",
@@ -331,8 +346,9 @@
         trouble.push((at, format!("abort {job} {}", if job % 2 == 0 { "first" } else { "second" })));
     }
     trouble.sort_by_key(|(at, _)| *at);
-    trouble.push((gap_ms, "expect confirmed >= 1".into()));
     trouble.push((gap_ms, "outage on".into()));
+    // Not before a leader that may not have seen the first of them starts nothing any more.
+    trouble.push((gap_ms.max(2_700), "expect confirmed >= 1".into()));
     let cancel_ms = cancel.parse::<f64>().expect("seconds") * 1000.0;
     let over = gap_ms + cancel_ms as u64 + rng.random_range(1_000..25_000);
     trouble.push((over, "outage off".into()));
--- a/tests/world/conditions.rs
+++ b/tests/world/conditions.rs
@@ -28,6 +28,13 @@
                 }
                 self.final_states.get(&id).is_some_and(|known| known == status)
             }
+            ["ended", id] => {
+                let id = name(id);
+                if !self.final_states.contains_key(&id) && self.now % 500 == 0 {
+                    self.poll(&id);
+                }
+                self.final_states.contains_key(&id)
+            }
             ["explained", id, word] => {
                 self.asked.watch("explain", &job_name(id));
                 self.asked.says("explain", &job_name(id), word)
@@ -101,6 +108,8 @@
                 let worker = self.workers.iter().find(|worker| worker.machine.name == *host);
                 worker.is_some_and(|worker| compare(on(worker), op, right))
             }
+            // Tasks that started after their user had been told that the job is cancelled.
+            ["started_cancelled", op, right] => compare(self.troubles.started_cancelled, op, right),
             // Tasks that ended with the lease of their worker.
             ["lost_with_lease", op, right] => compare(self.troubles.lost_with_lease, op, right),
             ["machines", op, right] => compare(self.cloud.machines.len() as u64, op, right),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,9 +9,11 @@
 pub mod flows;
 mod graphs;
 mod load;
+mod looks;
 mod rules;
 mod troubles;
 mod verbs;
+mod waiting;
 
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
@@ -19,6 +21,7 @@
 use asked::{About, Asked};
 use flows::Flows;
 use load::Load;
+use looks::Looks;
 use olivelatch::coordination::node::Node;
 use olivelatch::coordination::{CallId, Input, Output};
 use olivelatch::ids::JobId;
@@ -35,6 +38,7 @@
 use olivelatch_worker::{Description, Descriptions, Effect, GangTimes, Work, Worker, coordinate};
 use serde_json::{Value, json};
 use troubles::{Pace, Troubles};
+use waiting::Waiting;
 
 pub const STEP_MS: u64 = 20;
 const START_MS: u64 = 100_000;
@@ -91,13 +95,13 @@
     txns: Txns,
     held_txns: Vec<Vec<u8>>,
     troubles: Troubles,
+    looks: Looks,
+    waiting: Waiting,
     mesh: Mesh,
     /// What controllers said to each other and was held back: to whom, from whom.
     held_mesh: Vec<(usize, String, MeshMessage)>,
     /// Users that ask about a job again and again: its name, how often and when next (ms).
     askers: Vec<(String, u64, u64)>,
-    /// Users with one question at a time, as the protocol has them: a job's name, when it is asked about next.
-    watchers: Vec<(String, u64)>,
     pub counters: BTreeMap<&'static str, u64>,
     asked: Asked,
     pub flows: Flows,
@@ -107,6 +111,8 @@
     pub written: u64,
     /// When the first task of each job got its image.
     pub started: BTreeMap<String, u64>,
+    /// And the latest one.
+    last_start: BTreeMap<String, u64>,
     /// Final states when an operator's question went out: an answer must not be older.
     known_then: BTreeMap<(usize, u64), BTreeMap<String, String>>,
 }
@@ -206,16 +212,18 @@
             txns: Txns::Fine,
             held_txns: Vec::new(),
             troubles: Troubles::default(),
+            looks: Looks::default(),
+            waiting: Waiting::default(),
             mesh: Mesh::Fine,
             held_mesh: Vec::new(),
             askers: Vec::new(),
-            watchers: Vec::new(),
             counters: BTreeMap::new(),
             asked: Asked::default(),
             flows: Flows::default(),
             spent: Spent::default(),
             written: 0,
             started: BTreeMap::new(),
+            last_start: BTreeMap::new(),
             known_then: BTreeMap::new(),
         }
     }
@@ -300,7 +308,7 @@
                 };
                 self.state_answers(at, ask, outcome, timeout_ms);
             }
-            Output::Cloud { ask, request, .. } => {
+            Output::Cloud { ask, request, timeout_ms } => {
                 let outcome = if self.cloud_down {
                     Outcome::Response { status: 503, body: b"{\"error\":\"trouble\"}".to_vec() }
                 } else {
@@ -308,7 +316,7 @@
                     let (status, body) = self.cloud.call(call.method, &call.path, &call.body, self.now);
                     Outcome::Response { status, body: body.to_string().into_bytes() }
                 };
-                self.tell(at, Input::Cloud { ask, outcome });
+                self.cloud_answers(at, ask, outcome, timeout_ms);
             }
             Output::Orders { ask, endpoint, call, .. } => {
                 self.nodes[at].load.commanded();
@@ -390,7 +398,12 @@
                 }
                 if answer.status < 300 && !raw {
                     self.troubles.known.insert(id.clone(), self.now);
-                    self.accepted.insert(id.clone());
+                    if self.accepted.insert(id.clone()) {
+                        self.look_closely(&id);
+                    }
+                }
+                if matches!(answer.status, 400 | 422) && !raw && self.accepted.contains(&id) {
+                    self.broken.push(format!("forgotten: {id} got {}", answer.status));
                 }
                 let again = answer.status == 503 && expect.is_none() && !raw;
                 if again && self.unheard(&id) {
@@ -415,7 +428,10 @@
             self.broken.push(format!("went_back: {id} was {known} and is {status}"));
         }
         if status == "done" || status == "withdrawn" {
-            self.final_states.insert(id.into(), status.into());
+            let before = self.final_states.insert(id.into(), status.into());
+            if before.is_none() {
+                self.look_closely(id);
+            }
         }
         if status == "withdrawn" {
             self.withdrawn.entry(id.into()).or_insert(self.now);
@@ -472,23 +488,8 @@
         }
     }
 
-    /// A user has one question about a job open at a time; one that a node standing still holds has been given up.
-    fn asks_already(&self, id: &str) -> bool {
-        let open = |((at, _), call): (&(usize, u64), &Call)| {
-            !self.nodes[*at].pace.frozen && matches!(call, Call::User { id: other, .. } if other == id)
-        };
-        self.calls.iter().any(open)
-    }
-
     /// Users that ask about their jobs whatever the answer.
     fn ask_again(&mut self) {
-        for at in 0..self.watchers.len() {
-            let (id, due) = self.watchers[at].clone();
-            if due <= self.now && !self.asks_already(&id) {
-                self.watchers[at].1 = self.now + 1_000;
-                self.poll(&id);
-            }
-        }
         for at in 0..self.askers.len() {
             while self.askers[at].2 <= self.now {
                 let id = self.askers[at].0.clone();
@@ -552,6 +553,7 @@
         self.ask_as_operator();
         self.repeat_aborts();
         self.ask_again();
+        self.step_looks();
         self.boot_machines();
         let lease = self.config["cluster"]["workers"]["lease_s"].as_f64().unwrap_or(12.0) * 1000.0;
         for at in 0..self.workers.len() {
@@ -572,6 +574,7 @@
             self.report(at);
         }
         self.gangs();
+        self.judge_waiting();
         let (due, rest) = std::mem::take(&mut self.retries).into_iter().partition(|(at, _)| *at <= self.now);
         self.retries = rest;
         let due: Vec<(u64, String)> = due;
@@ -579,6 +582,7 @@
             let request = read_submission(self.specs[&id].to_string().as_bytes()).expect("a submission");
             self.ask(request, &id, None, false);
         }
+        self.copies_for_next();
         for at in 0..self.nodes.len() {
             if !self.nodes[at].pace.frozen {
                 self.work_off(at);
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -17,6 +17,8 @@
             }
             let job = task.split('/').next().unwrap_or("").to_string();
             self.started.entry(job.clone()).or_insert(self.now);
+            self.last_start.insert(job.clone(), self.now);
+            self.troubles.started_cancelled += u64::from(self.withdrawn.contains_key(&job));
             self.broken.extend(self.flows.started_too_early(&job, &self.state));
             self.judge_place(at, &job, &task);
         }
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -1,7 +1,7 @@
 //! What goes wrong around controllers beside cuts and ends: machines that hear nothing, reports and transactions that come
 //! late, controllers that stand still, clocks that run apart, a state service that answers slowly.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 use olivelatch::coordination::{AskId, CallId, Clock, Input};
 use olivelatch::ids::Millis;
@@ -10,7 +10,10 @@
 use olivelatch_worker::Worker;
 
 use super::verbs::{Done, seconds_of, wrong};
-use super::{START_MS, World};
+use super::{START_MS, STEP_MS, Slot, World};
+
+/// Copies of reports that are kept for the next leader at most.
+const MOST_KEPT: usize = 40;
 
 /// What is on its way, with the time when it arrives.
 #[derive(Default)]
@@ -22,8 +25,18 @@
     /// After how long copies of reports arrive again, in turn; none: they do not.
     copies: Vec<u64>,
     copied: Vec<(u64, usize, Vec<u8>)>,
+    /// Copies of reports are kept for the next leader, and who led when they were.
+    next: Option<Option<(usize, u64)>>,
+    kept: VecDeque<Vec<u8>>,
+    /// How long the cloud takes to answer what it has carried out.
+    cloud_ms: u64,
+    cloud_answers: Vec<(u64, usize, u64, AskId, Outcome)>,
+    /// Starts of tasks whose users had been told that their jobs are cancelled.
+    pub started_cancelled: u64,
     /// How long the state service takes to answer.
     pub slow_ms: u64,
+    /// It takes unlike times, so that an answer to an earlier question may come after one to a later.
+    pub uneven: bool,
     answers: Vec<(u64, usize, u64, AskId, Outcome)>,
     /// Transactions without an answer are carried out so much later.
     pub late_ms: Option<u64>,
@@ -72,7 +85,14 @@
 
     /// An answer of the state service, at once or after its time.
     pub fn state_answers(&mut self, at: usize, ask: AskId, outcome: Outcome, timeout_ms: u64) {
-        let slow = self.troubles.slow_ms;
+        // Now and then a few hundred milliseconds, otherwise at once.
+        let now_and_then = match (ask.0 * 7 + at as u64 * 3) % 11 {
+            0 => 300,
+            4 => 900,
+            8 => 150,
+            _ => STEP_MS,
+        };
+        let slow = if self.troubles.uneven { now_and_then } else { self.troubles.slow_ms };
         if slow == 0 {
             return self.tell(at, Input::State { ask, outcome });
         }
@@ -82,18 +102,54 @@
         self.troubles.answers.push((due, at, life, ask, outcome));
     }
 
+    /// The cloud has carried a request out; its answer comes at once or after its time.
+    pub fn cloud_answers(&mut self, at: usize, ask: AskId, outcome: Outcome, timeout_ms: u64) {
+        let late = self.troubles.cloud_ms;
+        if late == 0 {
+            return self.tell(at, Input::Cloud { ask, outcome });
+        }
+        let outcome = if late < timeout_ms { outcome } else { Outcome::Unknown };
+        let due = self.now + late.min(timeout_ms);
+        self.troubles.cloud_answers.push((due, at, self.nodes[at].life, ask, outcome));
+    }
+
     /// A transaction that is carried out later, without an answer.
     pub fn txn_later(&mut self, late_ms: u64, body: Vec<u8>) {
         self.troubles.txns.push((self.now + late_ms, body));
     }
 
     pub fn copy_report(&mut self, node: usize, body: &[u8]) {
+        if self.troubles.next.is_some() {
+            if self.troubles.kept.len() >= MOST_KEPT {
+                self.troubles.kept.pop_front();
+            }
+            self.troubles.kept.push_back(body.to_vec());
+        }
         let delays = &self.troubles.copies;
         if let Some(delay) = delays.get(self.next_call as usize % delays.len().max(1)) {
             self.troubles.copied.push((self.now + delay, node, body.to_vec()));
         }
     }
 
+    /// Another leader begins: what was kept arrives at every controller, at once and once more later.
+    pub fn copies_for_next(&mut self) {
+        let Some(before) = self.troubles.next else { return };
+        let leads = self.nodes.iter().position(Slot::leads).map(|at| (at, self.nodes[at].life));
+        if leads.is_none() || leads == before {
+            return;
+        }
+        self.troubles.next = Some(leads);
+        if before.is_none() {
+            return;
+        }
+        let now = self.now;
+        for body in std::mem::take(&mut self.troubles.kept) {
+            for (node, later) in (0..self.nodes.len()).flat_map(|at| [(at, 0), (at, 100), (at, 3_000)]) {
+                self.troubles.copied.push((now + later, node, body.clone()));
+            }
+        }
+    }
+
     /// What has been on its way for long enough arrives.
     pub fn arrivals(&mut self) {
         let now = self.now;
@@ -111,6 +167,14 @@
                 self.tell(at, Input::State { ask, outcome });
             }
         }
+        let answers = std::mem::take(&mut self.troubles.cloud_answers);
+        let (due, rest): (Vec<_>, Vec<_>) = answers.into_iter().partition(|(at, ..)| *at <= now);
+        self.troubles.cloud_answers = rest;
+        for (_, at, life, ask, outcome) in due {
+            if self.nodes[at].life == life {
+                self.tell(at, Input::Cloud { ask, outcome });
+            }
+        }
         let copied = std::mem::take(&mut self.troubles.copied);
         let (due, rest): (Vec<_>, Vec<_>) = copied.into_iter().partition(|(at, ..)| *at <= now);
         self.troubles.copied = rest;
@@ -134,7 +198,22 @@
         Ok(())
     }
 
+    pub fn set_cloud_answers(&mut self, words: &[&str]) -> Done {
+        self.troubles.cloud_ms = match words {
+            ["late", seconds] => (seconds_of(seconds)? * 1000.0) as u64,
+            ["fine"] => 0,
+            _ => return wrong("late SECONDS or fine"),
+        };
+        Ok(())
+    }
+
     pub fn set_copies(&mut self, words: &[&str]) -> Done {
+        let leads = self.nodes.iter().position(Slot::leads).map(|at| (at, self.nodes[at].life));
+        self.troubles.next = if words == ["next"] { Some(leads) } else { None };
+        if words == ["next"] {
+            return Ok(());
+        }
+        self.troubles.kept.clear();
         let delays: Result<Vec<f64>, String> =
             words.iter().filter(|word| **word != "none").map(|word| seconds_of(word)).collect();
         self.troubles.copies = delays?.into_iter().map(|seconds| (seconds * 1000.0) as u64).collect();
@@ -142,10 +221,11 @@
     }
 
     pub fn set_state(&mut self, words: &[&str]) -> Done {
+        self.troubles.uneven = words == ["uneven"];
         self.troubles.slow_ms = match words {
             ["slow", seconds] => (seconds_of(seconds)? * 1000.0) as u64,
-            ["fine"] => 0,
-            _ => return wrong("slow SECONDS or fine"),
+            ["fine" | "uneven"] => 0,
+            _ => return wrong("slow SECONDS, uneven or fine"),
         };
         Ok(())
     }
--- a/tests/world/verbs.rs
+++ b/tests/world/verbs.rs
@@ -440,13 +440,6 @@
         Ok(())
     }
 
-    /// A user that asks every second, one question at a time.
-    fn watch_job(&mut self, words: &[&str]) -> Done {
-        let [id] = words else { return wrong("JOB") };
-        self.watchers.push((job_of(id)?.0, self.now));
-        Ok(())
-    }
-
     fn in_seconds(&self, seconds: &str) -> Result<u64, String> {
         Ok(self.now + (seconds_of(seconds)? * 1000.0) as u64)
     }
@@ -512,9 +505,12 @@
     ("mesh", World::set_mesh),
     ("flash", World::flash),
     ("asks", World::asks),
-    ("watch", World::watch_job),
     ("deaf", World::set_deaf),
     ("mute", World::set_mute),
+    ("calm", World::calm),
+    ("cloud-answers", World::set_cloud_answers),
+    ("close-looks", World::set_close_looks),
+    ("cancels-at-end", World::set_cancels_at_end),
     ("copies", World::set_copies),
     ("state", World::set_state),
     ("freeze", World::freeze),
