--- a/tests/world/conditions.rs
+++ b/tests/world/conditions.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 
 use super::asked::job_name;
+use super::stream::Stream;
 use super::{Call, Slot, World};
 
 impl World {
@@ -35,6 +36,12 @@
                 }
                 self.final_states.contains_key(&id)
             }
+            // Every job of the stream has been told to be over.
+            ["streamed"] => self.stream.as_ref().is_some_and(Stream::over),
+            // The longest time from the end of a job's last task until that was told, in milliseconds.
+            ["told_late", op, right] => {
+                self.stream.as_ref().is_some_and(|stream| compare(stream.latest, op, right))
+            }
             ["explained", id, word] => {
                 self.asked.watch("explain", &job_name(id));
                 self.asked.says("explain", &job_name(id), word)
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod looks;
 mod rules;
+mod stream;
 mod troubles;
 mod verbs;
 mod waiting;
@@ -37,6 +38,7 @@
 use olivelatch_store::Engine;
 use olivelatch_worker::{Description, Descriptions, Effect, GangTimes, Work, Worker, coordinate};
 use serde_json::{Value, json};
+use stream::Stream;
 use troubles::{Pace, Troubles};
 use waiting::Waiting;
 
@@ -97,6 +99,7 @@
     troubles: Troubles,
     looks: Looks,
     waiting: Waiting,
+    stream: Option<Stream>,
     mesh: Mesh,
     /// What controllers said to each other and was held back: to whom, from whom.
     held_mesh: Vec<(usize, String, MeshMessage)>,
@@ -214,6 +217,7 @@
             troubles: Troubles::default(),
             looks: Looks::default(),
             waiting: Waiting::default(),
+            stream: None,
             mesh: Mesh::Fine,
             held_mesh: Vec::new(),
             askers: Vec::new(),
@@ -554,6 +558,7 @@
         self.repeat_aborts();
         self.ask_again();
         self.step_looks();
+        self.step_stream();
         self.boot_machines();
         let lease = self.config["cluster"]["workers"]["lease_s"].as_f64().unwrap_or(12.0) * 1000.0;
         for at in 0..self.workers.len() {
--- a/tests/world/verbs.rs
+++ b/tests/world/verbs.rs
@@ -510,6 +510,7 @@
     ("calm", World::calm),
     ("cloud-answers", World::set_cloud_answers),
     ("close-looks", World::set_close_looks),
+    ("stream", World::set_stream),
     ("cancels-at-end", World::set_cancels_at_end),
     ("copies", World::set_copies),
     ("state", World::set_state),
