Sessions of machines that never showed our token do not prolong the wait for their tasks

Cause: the mend for mute machines counted a lease from every session that was first seen; a deaf machine with inherited tasks begins one each lease, so that these waited up to a session longer. Change: only where the machine has shown our token, as nothing of ours is sent before.

--- a/src/coordination/leader/machines/silence.rs
+++ b/src/coordination/leader/machines/silence.rs
@@ -56,12 +56,13 @@
     fn empty_at(&self, machine: &Machine) -> Millis {
         let lease = self.settings.workers.lease_ms;
         let ended = |began: Millis| began.plus(lease + slack_ms(lease));
-        let began = machine.answered.max(machine.session_seen);
-        match began.max(machine.shown) {
+        let heard = machine.answered.max(machine.shown);
+        match heard.max(machine.session_seen) {
             // No other leader's answer to a report sent after it showed our token counts.
             Some(began) if machine.confirmed => ended(began),
-            // An earlier leader, or our own first answers, may have kept it alive.
-            _ => began.map_or(self.inherited_until, |began| ended(began).max(self.inherited_until)),
+            // An earlier leader, or our own first answers, may have kept it alive. Nothing of ours was sent there, and what
+            // an earlier leader sent was for a session that it knew: a deaf machine's later ones do not count.
+            _ => heard.map_or(self.inherited_until, |heard| ended(heard).max(self.inherited_until)),
         }
     }
 
