--- a/tests/random.rs
+++ b/tests/random.rs
@@ -100,6 +100,8 @@
             body: b"{\"error\":\"later\"}".to_vec(),
         },
         MeshMessage::Hello { node: "node-1".into() },
+        MeshMessage::Poke { revision: u64::MAX },
+        MeshMessage::Read { revision: 412 },
     ];
     let frames: Vec<Vec<u8>> = whole.iter().map(|message| encode(message)[4..].to_vec()).collect();
     for (frame, message) in frames.iter().zip(&whole) {
@@ -109,7 +111,7 @@
         }
     }
     let change = proptest::collection::vec((any::<usize>(), any::<u8>()), 1..8);
-    let checked = runner().run(&(change, bytes(), 0..3_usize), |(changes, noise, which)| {
+    let checked = runner().run(&(change, bytes(), 0..whole.len()), |(changes, noise, which)| {
         let mut frame = frames[which].clone();
         let length = frame.len();
         changes.into_iter().for_each(|(at, byte)| frame[at % length] = byte);
