Reread: dead code, a second learning of ends each step, one list of late answers

Watermarks::revision_of and the longest wait were never read; settle learned ends that every change of the mirror has already told; the world kept answers of state service and cloud in two lists, and looked for tasks that ended well in two places.

--- a/src/coordination/node/watermarks.rs
+++ b/src/coordination/node/watermarks.rs
@@ -21,7 +21,6 @@
     /// Answers what waited for ends to be stable, asks the others to look where somebody still waits, and tells them how
     /// far this node has read.
     pub(super) fn settle(&mut self, clock: Clock, out: &mut Vec<Output>) {
-        self.learn_ends(clock);
         self.watermarks.forget(clock.now);
         let mut users = std::mem::take(&mut self.users);
         let records =
--- a/src/coordination/watermarks.rs
+++ b/src/coordination/watermarks.rs
@@ -113,8 +113,4 @@
         let behind = self.others.iter().filter(|(_, read)| **read < end.revision);
         Some((behind.map(|(node, _)| node.clone()).collect(), end.revision))
     }
-
-    pub fn revision_of(&self, id: JobId) -> Revision {
-        self.recent.get(&id).map_or(Revision(0), |end| end.revision)
-    }
 }
--- a/tests/world/looks.rs
+++ b/tests/world/looks.rs
@@ -6,6 +6,7 @@
 use olivelatch::coordination::Input;
 use olivelatch::ids::JobId;
 use olivelatch::protocol::users::{UserRequest, read_submission};
+use olivelatch_worker::{Phase, Piece, Worker};
 
 use super::verbs::{Done, wrong};
 use super::{Call, World};
@@ -23,6 +24,12 @@
     done: BTreeMap<String, HashSet<String>>,
 }
 
+/// Tasks that have ended well and are still shown.
+pub fn done_pieces(workers: &[Worker]) -> impl Iterator<Item = &Piece> {
+    let pieces = workers.iter().flat_map(|worker| &worker.pieces);
+    pieces.filter(|piece| matches!(piece.phase, Phase::Ended { cause: "done", .. }))
+}
+
 impl World {
     pub fn set_close_looks(&mut self, words: &[&str]) -> Done {
         self.looks.on = match words {
@@ -66,9 +73,8 @@
 
     fn notice_ends(&mut self) {
         let mut over = Vec::new();
-        for piece in self.workers.iter().flat_map(|worker| &worker.pieces) {
-            let ended = matches!(piece.phase, olivelatch_worker::Phase::Ended { cause: "done", .. });
-            let Some(spec) = self.specs.get(piece.job()).filter(|_| ended) else { continue };
+        for piece in done_pieces(&self.workers) {
+            let Some(spec) = self.specs.get(piece.job()) else { continue };
             let done = self.looks.done.entry(piece.job().into()).or_default();
             if done.insert(piece.task.clone()) && done.len() as u64 == spec["pieces"].as_u64().unwrap_or(0) {
                 over.push(piece.job().to_string());
--- a/tests/world/stream.rs
+++ b/tests/world/stream.rs
@@ -6,6 +6,7 @@
 use olivelatch::protocol::users::read_submission;
 
 use super::World;
+use super::looks::done_pieces;
 use super::verbs::{Done, seconds_of, wrong};
 
 const ASK_EVERY_MS: u64 = 1_000;
@@ -70,11 +71,8 @@
             stream.next += 1;
             stream.due += stream.every_ms;
         }
-        for piece in self.workers.iter().flat_map(|worker| &worker.pieces) {
-            if matches!(piece.phase, olivelatch_worker::Phase::Ended { cause: "done", .. })
-                && stream.open.contains_key(piece.job())
-                && !stream.ended.contains_key(piece.job())
-            {
+        for piece in done_pieces(&self.workers) {
+            if stream.open.contains_key(piece.job()) && !stream.ended.contains_key(piece.job()) {
                 stream.ended.insert(piece.job().into(), now);
             }
         }
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -30,14 +30,14 @@
     kept: VecDeque<Vec<u8>>,
     /// How long the cloud takes to answer what it has carried out.
     cloud_ms: u64,
-    cloud_answers: Vec<(u64, usize, u64, AskId, Outcome)>,
     /// Starts of tasks whose users had been told that their jobs are cancelled.
     pub started_cancelled: u64,
     /// How long the state service takes to answer.
     pub slow_ms: u64,
     /// It takes unlike times, so that an answer to an earlier question may come after one to a later.
     pub uneven: bool,
-    answers: Vec<(u64, usize, u64, AskId, Outcome)>,
+    /// Answers on their way: when they arrive, at which life of which controller.
+    answers: Vec<(u64, usize, u64, Input)>,
     /// Transactions without an answer are carried out so much later.
     pub late_ms: Option<u64>,
     txns: Vec<(u64, Vec<u8>)>,
@@ -99,7 +99,7 @@
         let outcome = if slow < timeout_ms { outcome } else { Outcome::Unknown };
         let due = self.now + slow.min(timeout_ms);
         let life = self.nodes[at].life;
-        self.troubles.answers.push((due, at, life, ask, outcome));
+        self.troubles.answers.push((due, at, life, Input::State { ask, outcome }));
     }
 
     /// The cloud has carried a request out; its answer comes at once or after its time.
@@ -110,7 +110,7 @@
         }
         let outcome = if late < timeout_ms { outcome } else { Outcome::Unknown };
         let due = self.now + late.min(timeout_ms);
-        self.troubles.cloud_answers.push((due, at, self.nodes[at].life, ask, outcome));
+        self.troubles.answers.push((due, at, self.nodes[at].life, Input::Cloud { ask, outcome }));
     }
 
     /// A transaction that is carried out later, without an answer.
@@ -162,17 +162,9 @@
         let answers = std::mem::take(&mut self.troubles.answers);
         let (due, rest): (Vec<_>, Vec<_>) = answers.into_iter().partition(|(at, ..)| *at <= now);
         self.troubles.answers = rest;
-        for (_, at, life, ask, outcome) in due {
+        for (_, at, life, answer) in due {
             if self.nodes[at].life == life {
-                self.tell(at, Input::State { ask, outcome });
-            }
-        }
-        let answers = std::mem::take(&mut self.troubles.cloud_answers);
-        let (due, rest): (Vec<_>, Vec<_>) = answers.into_iter().partition(|(at, ..)| *at <= now);
-        self.troubles.cloud_answers = rest;
-        for (_, at, life, ask, outcome) in due {
-            if self.nodes[at].life == life {
-                self.tell(at, Input::Cloud { ask, outcome });
+                self.tell(at, answer);
             }
         }
         let copied = std::mem::take(&mut self.troubles.copied);
--- a/tests/world/waiting.rs
+++ b/tests/world/waiting.rs
@@ -18,8 +18,6 @@
     calm: bool,
     /// Since when each job waits although it need not.
     since: BTreeMap<String, u64>,
-    /// The longest of these so far.
-    pub longest: u64,
 }
 
 /// What a machine has, in thousandths: CPUs and memory.
@@ -64,7 +62,6 @@
             // A job that has started something since does not stand still.
             let started = self.last_start.get(&id).copied().unwrap_or(0);
             let since = before.get(&id).copied().filter(|since| *since > started).unwrap_or(now);
-            self.waiting.longest = self.waiting.longest.max(now - since);
             if now - since > MOST_MS {
                 self.broken.push(format!("waits: {id} since {since} ms with room for it"));
             }
