--- a/src/coordination/leader/machines/plan.rs
+++ b/src/coordination/leader/machines/plan.rs
@@ -167,13 +167,18 @@
     there: HashMap<ZoneIx, u64>,
 }
 
+/// Of the zones where a job's tasks may be, the one with most of them: after a takeover others may be stale.
+fn most_tasks(zones: &HashMap<ZoneIx, u32>) -> Option<ZoneIx> {
+    zones.iter().max_by_key(|(zone, count)| (**count, **zone)).map(|(zone, _)| *zone)
+}
+
 impl ZoneNeed {
     fn new(work: &Work) -> ZoneNeed {
         let there: HashMap<ZoneIx, u64> =
             work.zones.iter().map(|(zone, count)| (*zone, u64::from(*count))).collect();
         ZoneNeed {
             missing: u64::from(work.left()).saturating_sub(work.out.len() as u64),
-            only: work.zones.keys().next().copied().filter(|_| work.info.one_zone),
+            only: most_tasks(&work.zones).filter(|_| work.info.one_zone),
             cap: if work.info.spread { u64::from(work.info.tasks.div_ceil(2)) } else { u64::MAX },
             there,
         }
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -89,10 +89,11 @@
     /// The zone rules, judged against every place where a task of the job may still be.
     pub fn zone_allows(&self, ix: MachineIx, work: &Work) -> bool {
         let zone = self.machines[ix.at()].zone;
-        let here = work.zones.get(&zone).copied().unwrap_or(0);
-        if work.info.one_zone && !work.zones.is_empty() && here == 0 {
+        // After a takeover there may be records of two zones, of which one is stale: neither is allowed until one is empty.
+        if work.info.one_zone && work.zones.keys().any(|other| *other != zone) {
             return false;
         }
+        let here = work.zones.get(&zone).copied().unwrap_or(0);
         !work.info.spread || here < work.info.tasks.div_ceil(2)
     }
 
