--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -16,6 +16,7 @@
   latch explain job-000412                   why it is where it is
   latch list --state live --json
   latch graph submit examples/billing.hcl --wait
+  latch scale run examples/scale/small.hcl --out /tmp/small
 
 Exit codes:
   0  fine                                    4  refused: the request is wrong, or can never run
@@ -102,6 +103,9 @@
     Up(Up),
     /// Show it all in under a minute: a region, a mixed batch, a controller killed in the middle
     Demo(Demo),
+    /// Play a plan of the planned size on this machine: real controllers, hollow workers (docs/scale.md)
+    #[command(subcommand)]
+    Scale(Scale),
     /// A controller, as `olivelatch` itself; `up` starts them so
     #[command(hide = true)]
     Controller(Controller),
@@ -169,6 +173,29 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum Scale {
+    /// Play a plan; exit code 1 if a rule was broken
+    Run {
+        /// The plan (HCL); examples/scale has some
+        plan: PathBuf,
+        /// Folder for the report, the logs and the state file
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+        /// error, info or debug, for the controllers' logs
+        #[arg(long, default_value = "error")]
+        log_level: String,
+    },
+    /// Check a plan; nothing is started
+    Check { plan: PathBuf },
+    /// The hollow workers of a zone; `run` starts them so
+    #[command(hide = true)]
+    Zone { arguments: String },
+    /// The state service; `run` starts it so
+    #[command(hide = true)]
+    State { arguments: String },
+}
+
 #[derive(Debug, Clone, Copy, ValueEnum)]
 pub enum ShapeWord {
     Array,
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -58,7 +58,11 @@
         Command::Graph(graph) => return crate::graphs::run(common, client, &graph),
         Command::Top { once } => top(common, client, once)?,
         Command::Check { files } => check(common, client, &files)?,
-        Command::Completions { .. } | Command::Up(_) | Command::Demo(_) | Command::Controller(_) => {}
+        Command::Completions { .. }
+        | Command::Up(_)
+        | Command::Demo(_)
+        | Command::Scale(_)
+        | Command::Controller(_) => {}
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -5,6 +5,7 @@
 use olivelatch_client::{ClientError, ContextsError, JobFileError};
 use olivelatch_flow::FlowFileError;
 use olivelatch_region::RegionError;
+use olivelatch_scale::ScaleError;
 
 /// Something was not found, or the region could not go on.
 const OTHER: u8 = 1;
@@ -78,6 +79,15 @@
     }
 }
 
+impl From<ScaleError> for Failure {
+    fn from(error: ScaleError) -> Failure {
+        match error {
+            ScaleError::Plan(_) | ScaleError::Refused(_) => Failure::Usage(error.to_string()),
+            _ => Failure::Other(error.to_string()),
+        }
+    }
+}
+
 impl From<serde_json::Error> for Failure {
     fn from(error: serde_json::Error) -> Failure {
         Failure::Other(error.to_string())
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod exit;
 mod graphs;
 mod render;
+mod scale;
 mod up;
 
 use std::process::ExitCode;
@@ -25,6 +26,7 @@
             return olivelatch::cli::run(std::iter::once("olivelatch".into()).chain(args.rest));
         }
         Command::Up(args) => up::up(&args).map(|()| ExitCode::SUCCESS),
+        Command::Scale(args) => scale::run(args),
         Command::Demo(args) => demo::demo(&args).map(|()| ExitCode::SUCCESS),
         Command::Completions { shell } => {
             args::completions(shell);
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -12,13 +12,15 @@
 
 use polling::{Event, Poller};
 
-/// System calls since they were last shown, by kind.
+/// System calls since they were last shown, by kind, and the bytes that streams moved.
 #[derive(Debug, Default)]
 pub struct Calls {
     pub waits: AtomicU64,
     pub reads: AtomicU64,
     pub writes: AtomicU64,
     pub registrations: AtomicU64,
+    pub bytes_read: AtomicU64,
+    pub bytes_written: AtomicU64,
 }
 
 /// One more.
@@ -84,12 +86,16 @@
 impl Watch<TcpStream> {
     pub fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
         count(&self.gate.calls.reads);
-        (&self.source).read(buffer)
+        let read = (&self.source).read(buffer)?;
+        self.gate.calls.bytes_read.fetch_add(read as u64, Ordering::Relaxed);
+        Ok(read)
     }
 
     pub fn write(&self, bytes: &[u8]) -> io::Result<usize> {
         count(&self.gate.calls.writes);
-        (&self.source).write(bytes)
+        let written = (&self.source).write(bytes)?;
+        self.gate.calls.bytes_written.fetch_add(written as u64, Ordering::Relaxed);
+        Ok(written)
     }
 }
 
--- a/crates/region/src/controllers.rs
+++ b/crates/region/src/controllers.rs
@@ -50,27 +50,124 @@
 /// A controller that ended is started again after this.
 const RESTART_MS: u64 = 3_000;
 
+/// What controllers are told of the platform they run on.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// Zones; controllers are spread over them in turn.
+    pub zones: Vec<String>,
+    pub teams: Vec<TeamPlan>,
+    pub aims: Vec<AimPlan>,
+    pub workers: WorkerPlan,
+    pub state: StatePlan,
+    pub cloud_requests_per_s: f64,
+    pub list_lag_s: f64,
+    pub quota: QuotaPlan,
+}
+
+/// Within what time most jobs of a class should be done.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AimPlan {
+    pub class: String,
+    pub within_s: f64,
+}
+
+/// Times of the workers, in seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerPlan {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+/// What the state service allows.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatePlan {
+    pub requests_per_s: f64,
+    pub changes_per_s: f64,
+    pub value_kb: f64,
+    pub txn_changes: usize,
+}
+
+/// What a controller may use: part of a core, MB, sockets.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaPlan {
+    pub core_share: f64,
+    pub memory_mb: f64,
+    pub connections: usize,
+}
+
+impl Platform {
+    /// A region on one machine: one zone, generous limits.
+    pub fn local(teams: Vec<TeamPlan>) -> Platform {
+        Platform {
+            zones: vec!["here".into()],
+            teams,
+            aims: Vec::new(),
+            workers: WorkerPlan {
+                report_s: REPORT_S,
+                lease_s: LEASE_S,
+                gang_wait_s: GANG_WAIT_S,
+                gang_peer_s: GANG_PEER_S,
+                cancel_s: CANCEL_S,
+            },
+            state: StatePlan {
+                requests_per_s: 2000.0,
+                changes_per_s: 1000.0,
+                value_kb: 64.0,
+                txn_changes: 64,
+            },
+            cloud_requests_per_s: 50.0,
+            list_lag_s: 0.5,
+            quota: QuotaPlan { core_share: 1.0, memory_mb: 256.0, connections: 2000 },
+        }
+    }
+}
+
+/// The name of a controller by its place in the list.
+pub fn controller_name(at: usize) -> String {
+    format!("node-{at}")
+}
+
+/// The place of a controller by its name, of so many.
+pub fn controller_place(name: &str, controllers: usize) -> Option<usize> {
+    name.strip_prefix("node-")?.parse().ok().filter(|at| *at < controllers)
+}
+
 /// A controller's settings as the platform would write them.
-fn settings(plan: &Plan, at: usize, teams: &[TeamPlan]) -> Value {
-    let name = |at: usize| format!("node-{at}");
+pub fn controller_settings(plan: &Plan, at: usize, platform: &Platform) -> Value {
+    let zone = |at: usize| &platform.zones[at % platform.zones.len()];
     let others: Vec<Value> = (0..plan.controllers.len())
         .filter(|other| *other != at)
-        .map(|other| json!({"node": name(other), "zone": "here", "addr": plan.meshes[other]}))
+        .map(|other| json!({"node": controller_name(other), "zone": zone(other), "addr": plan.meshes[other]}))
         .collect();
-    let teams: Vec<Value> = teams
+    let teams: Vec<Value> = platform
+        .teams
         .iter()
         .map(|team| {
             json!({"name": team.name, "cpus": team.guaranteed, "cpus_max": team.limit, "gpus": 0.0, "gpus_max": 0.0})
         })
         .collect();
-    json!({"node": name(at), "zone": "here", "front": plan.controllers[at], "mesh_addr": plan.meshes[at],
+    let aims: Vec<Value> = platform
+        .aims
+        .iter()
+        .map(|aim| json!({"kind": "finished", "class": aim.class, "within_s": aim.within_s}))
+        .collect();
+    let (workers, state, quota) = (&platform.workers, &platform.state, &platform.quota);
+    json!({"node": controller_name(at), "zone": zone(at), "front": plan.controllers[at], "mesh_addr": plan.meshes[at],
         "others": others, "endpoints": {"cloud": plan.cloud, "state": plan.state},
-        "cluster": {"count": plan.controllers.len(), "zones": ["here"], "teams": teams, "objectives": [],
-            "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": GANG_WAIT_S,
-                "gang_peer_s": GANG_PEER_S, "cancel_s": CANCEL_S},
-            "state": {"rps": 2000.0, "write_rps": 1000.0, "value_kb": 64.0, "txn_ops": 64},
-            "cloud": {"rps": 50.0, "list_lag_s": 0.5},
-            "quota": {"core_share": 1.0, "mem_mb": 256.0, "max_connections": 2000}, "time_bound_ms": 10.0}})
+        "cluster": {"count": plan.controllers.len(), "zones": platform.zones, "teams": teams, "objectives": aims,
+            "workers": {"report_s": workers.report_s, "lease_s": workers.lease_s, "gang_wait_s": workers.gang_wait_s,
+                "gang_peer_s": workers.gang_peer_s, "cancel_s": workers.cancel_s},
+            "state": {"rps": state.requests_per_s, "write_rps": state.changes_per_s, "value_kb": state.value_kb,
+                "txn_ops": state.txn_changes},
+            "cloud": {"rps": platform.cloud_requests_per_s, "list_lag_s": platform.list_lag_s},
+            "quota": {"core_share": quota.core_share, "mem_mb": quota.memory_mb, "max_connections": quota.connections},
+            "time_bound_ms": 10.0}})
 }
 
 struct Controller {
@@ -92,14 +189,14 @@
         folder: &Path,
         how: ControllerPlan,
         plan: &Plan,
-        teams: &[TeamPlan],
+        platform: &Platform,
     ) -> io::Result<Controllers> {
         let tunables = folder.join("tunables.hcl");
         std::fs::write(&tunables, &how.tunables)?;
         let mut all = Vec::new();
         for at in 0..plan.controllers.len() {
             let file = folder.join(format!("node-{at}.json"));
-            std::fs::write(&file, settings(plan, at, teams).to_string())?;
+            std::fs::write(&file, controller_settings(plan, at, platform).to_string())?;
             let log = folder.join(format!("node-{at}.log"));
             all.push(Controller { settings: file, log, child: None, start_at: 0 });
         }
--- a/crates/region/src/lib.rs
+++ b/crates/region/src/lib.rs
@@ -13,5 +13,8 @@
 mod region;
 
 pub use cloud::{Cloud, KindSpec, Rented};
-pub use controllers::{ControllerPlan, Plan};
+pub use controllers::{
+    AimPlan, ControllerPlan, Plan, Platform, QuotaPlan, StatePlan, TeamPlan, WorkerPlan, controller_name,
+    controller_place, controller_settings,
+};
 pub use region::{Region, RegionError, Shape};
--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -11,22 +11,19 @@
 use olivelatch_net::poll::Keys;
 use olivelatch_net::server::Port;
 use olivelatch_worker::processes::{Exit, Key, Processes};
-use olivelatch_worker::{Effect, GangTimes, Made, Phase, Work, Worker, coordinate};
+use olivelatch_worker::{
+    Effect, GangTimes, Made, Phase, ReportAnswer, ReportTimes, Reporter, Work, Worker, coordinate,
+};
 use serde_json::{Value, json};
 
 use crate::cloud::{KindSpec, Rented};
-use crate::controllers::{GANG_PEER_S, GANG_WAIT_S, LEASE_S, REPORT_S};
+use crate::controllers::{GANG_PEER_S, GANG_WAIT_S, LEASE_S, REPORT_S, controller_place};
 use crate::desk::Desk;
 use crate::outputs::Outputs;
 
-/// Between reports, and before one that a change asks for. On one machine reports cost little, so they may
-/// follow one another faster than the protocol's half second.
-const REPORT_MS: u64 = (REPORT_S * 1000.0) as u64;
-const SOON_MS: u64 = 50;
-/// Before the next controller is tried.
-const RETRY_MS: u64 = 200;
-/// A controller answers a report within this, or another one is asked.
-const PATIENCE_MS: u64 = 4_000;
+/// On one machine reports cost little, so they may follow one another faster than the protocol's half second.
+const REPORTS: ReportTimes =
+    ReportTimes { every_ms: (REPORT_S * 1000.0) as u64, change_ms: 50, retry_ms: 200, patience_ms: 4_000 };
 const LEASE_MS: u64 = (LEASE_S * 1000.0) as u64;
 
 fn ms(seconds: f64) -> u64 {
@@ -37,10 +34,7 @@
 struct Reporting {
     port: Port,
     slot: Slot,
-    home: usize,
-    next: u64,
-    /// When the open report went out, and in which session.
-    open: Option<(u64, u64)>,
+    reporter: Reporter,
 }
 
 pub struct Machines {
@@ -92,7 +86,7 @@
         desk.results.iter().for_each(|(task, made)| worker.knows_result(task, *made));
         let home = port.0 % self.controllers.len().max(1);
         self.workers.push(worker);
-        self.reporting.push(Reporting { port, slot: Slot(port.0), home, next: now, open: None });
+        self.reporting.push(Reporting { port, slot: Slot(port.0), reporter: Reporter::new(home, now) });
     }
 
     /// A machine that was returned: its tasks are ended with it.
@@ -240,20 +234,14 @@
             return;
         }
         for at in 0..self.workers.len() {
-            let reporting = &mut self.reporting[at];
-            let worker = &mut self.workers[at];
-            let soon = worker.changed && now + REPORT_MS >= reporting.next + SOON_MS;
-            if reporting.open.is_some() || (now < reporting.next && !soon) {
+            let Reporting { slot, reporter, .. } = &mut self.reporting[at];
+            if !reporter.due(&self.workers[at], now, REPORTS) {
                 continue;
             }
-            worker.changed = false;
-            let body = worker.report(now).to_string();
-            reporting.open = Some((now, worker.session));
-            reporting.next = now + REPORT_MS;
-            let addr = self.controllers[reporting.home % self.controllers.len()];
-            let request = ("POST", "/v1/report", body.as_bytes());
-            if !caller.call(keys, reporting.slot, addr, request, now + PATIENCE_MS) {
-                let slot = reporting.slot;
+            let body = reporter.send(&mut self.workers[at], now, REPORTS, 0).to_string();
+            let addr = self.controllers[reporter.controller(self.controllers.len())];
+            let (slot, request) = (*slot, ("POST", "/v1/report", body.as_bytes()));
+            if !caller.call(keys, slot, addr, request, now + REPORTS.patience_ms) {
                 self.answered(slot, None, &Desk::default(), now);
             }
         }
@@ -262,28 +250,14 @@
     /// An answer to a report, or none: then the next controller is tried.
     pub fn answered(&mut self, slot: Slot, response: Option<&Response>, desk: &Desk, now: u64) {
         let Some(at) = self.reporting.iter().position(|reporting| reporting.slot == slot) else { return };
-        let Some((sent, session)) = self.reporting[at].open.take() else { return };
         let body: Value =
             response.and_then(|response| serde_json::from_slice(&response.body).ok()).unwrap_or(Value::Null);
         let status = response.map_or(0, |response| response.status);
-        if status == 200 {
-            if self.workers[at].session == session {
-                self.workers[at].answer(&body, sent, now, &desk.descriptions);
-            }
-            return;
-        }
-        let reporting = &mut self.reporting[at];
-        let node = body["home"].as_str().and_then(|home| home.strip_prefix("node-")?.parse::<usize>().ok());
-        match node.filter(|node| status == 421 && *node < self.controllers.len() && *node != reporting.home) {
-            Some(node) => {
-                reporting.home = node;
-                reporting.next = now;
-            }
-            None => {
-                reporting.home = (reporting.home + 1) % self.controllers.len().max(1);
-                reporting.next = now + RETRY_MS;
-            }
-        }
+        let controllers = self.controllers.len();
+        let place = |name: &str| controller_place(name, controllers);
+        let answer = ReportAnswer { status, body: &body };
+        let (worker, reporter) = (&mut self.workers[at], &mut self.reporting[at].reporter);
+        reporter.answered(worker, answer, now, REPORTS, &desk.descriptions, place);
     }
 
     /// Tasks that have their image and are not over.
--- a/crates/region/src/region.rs
+++ b/crates/region/src/region.rs
@@ -19,7 +19,7 @@
 use thiserror::Error;
 
 use crate::cloud::{Cloud, KindSpec};
-use crate::controllers::{ControllerPlan, Controllers, Plan, TeamPlan};
+use crate::controllers::{ControllerPlan, Controllers, Plan, Platform, TeamPlan};
 use crate::desk::Desk;
 use crate::machines::Machines;
 use crate::outputs::Outputs;
@@ -159,8 +159,9 @@
         let teams = shape.teams.into_iter();
         let teams: Vec<TeamPlan> =
             teams.map(|(name, guaranteed, limit)| TeamPlan { name, guaranteed, limit }).collect();
+        let platform = Platform::local(teams);
         let controllers =
-            Controllers::prepare(&folder, shape.how, &plan, &teams).map_err(io_error(&shown))?;
+            Controllers::prepare(&folder, shape.how, &plan, &platform).map_err(io_error(&shown))?;
         let mut desk = Desk::default();
         let mut cloud = restore(&saved, &mut desk);
         cloud.kinds = shape.kinds;
--- /dev/null
+++ b/crates/scale/src/figures.rs
@@ -0,0 +1,370 @@
+//! What a run measured: waits, rates, processes, and the report of it all.
+
+use std::collections::{BTreeMap, HashSet};
+use std::fmt::Write as _;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::check::Violation;
+use crate::processes::{Role, Sample};
+
+/// Significant digits of histograms, and the longest time they tell, in milliseconds.
+const DIGITS: u8 = 3;
+const LONGEST_MS: u64 = 24 * 3_600_000;
+/// The rate at the peak is the best mean over so many seconds.
+const PEAK_SECONDS: usize = 10;
+
+/// A distribution of times, in seconds.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Wait {
+    pub count: u64,
+    pub p50_s: f64,
+    pub p99_s: f64,
+    pub max_s: f64,
+}
+
+/// Times in milliseconds as they come in.
+pub struct Times(Histogram<u64>);
+
+impl Default for Times {
+    fn default() -> Times {
+        Times(Histogram::new_with_max(LONGEST_MS, DIGITS).expect("bounds that histograms allow"))
+    }
+}
+
+impl Times {
+    pub fn record(&mut self, ms: u64) {
+        self.0.saturating_record(ms);
+    }
+
+    pub fn wait(&self) -> Wait {
+        let quantile = |part: f64| self.0.value_at_quantile(part) as f64 / 1000.0;
+        Wait {
+            count: self.0.len(),
+            p50_s: quantile(0.5),
+            p99_s: quantile(0.99),
+            max_s: self.0.max() as f64 / 1000.0,
+        }
+    }
+}
+
+/// One second of the run.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Second {
+    pub at_s: u64,
+    pub starts: u64,
+    pub running: usize,
+    pub workers: usize,
+    /// Tasks of accepted jobs that have not run yet.
+    pub waiting: i64,
+    pub reports: u64,
+    pub state_requests: u64,
+    pub state_changes: u64,
+    /// Processor time as a share of one core: the leader, all controllers, the state service, all hollow workers, the load.
+    pub leader_cpu: f64,
+    pub controllers_cpu: f64,
+    pub state_cpu: f64,
+    pub workers_cpu: f64,
+    pub load_cpu: f64,
+}
+
+/// A process over the whole run.
+#[derive(Debug, Clone, Serialize)]
+pub struct ProcessFigures {
+    pub name: String,
+    pub role: Role,
+    /// Shares of one core.
+    pub cpu_mean: f64,
+    pub cpu_peak: f64,
+    pub memory_peak_mb: f64,
+    pub files_peak: usize,
+    #[serde(skip)]
+    used_s: f64,
+    #[serde(skip)]
+    seconds: f64,
+    #[serde(skip)]
+    last: Option<(u64, Sample)>,
+}
+
+impl ProcessFigures {
+    pub fn new(name: &str, role: Role) -> ProcessFigures {
+        ProcessFigures {
+            name: name.into(),
+            role,
+            cpu_mean: 0.0,
+            cpu_peak: 0.0,
+            memory_peak_mb: 0.0,
+            files_peak: 0,
+            used_s: 0.0,
+            seconds: 0.0,
+            last: None,
+        }
+    }
+
+    /// Takes a sample in; the share of a core since the one before, 0 after a restart.
+    pub fn take(&mut self, now: u64, sample: Option<Sample>) -> f64 {
+        let before = std::mem::replace(&mut self.last, sample.map(|sample| (now, sample)));
+        let (Some(sample), Some((then, before))) = (sample, before) else { return 0.0 };
+        self.memory_peak_mb = self.memory_peak_mb.max(sample.memory_bytes as f64 / 1e6);
+        self.files_peak = self.files_peak.max(sample.files);
+        let (used_s, seconds) =
+            (sample.processor_s - before.processor_s, now.saturating_sub(then) as f64 / 1000.0);
+        if used_s < 0.0 || seconds <= 0.0 {
+            return 0.0;
+        }
+        self.used_s += used_s;
+        self.seconds += seconds;
+        self.cpu_mean = self.used_s / self.seconds;
+        let share = used_s / seconds;
+        self.cpu_peak = self.cpu_peak.max(share);
+        share
+    }
+}
+
+/// A change of leader.
+#[derive(Debug, Clone, Serialize)]
+pub struct Lead {
+    /// When its record was seen.
+    pub at_s: f64,
+    pub node: String,
+    /// From the end of the one before, if it was killed in this run.
+    pub after_kill_s: Option<f64>,
+    /// From the kill, or else the record, to the first task that the new leader started.
+    pub first_start_s: Option<f64>,
+}
+
+/// One phase of the load.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct PhaseFigures {
+    pub name: String,
+    pub planned_starts_per_s: f64,
+    pub starts_per_s: f64,
+}
+
+/// A worker's control traffic and processor time, from its process over the workers in it.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct WorkerFigures {
+    pub workers_peak: usize,
+    pub reports_per_s: f64,
+    pub commands_per_s: f64,
+    /// Bytes a second of one worker.
+    pub bytes_in_per_s: f64,
+    pub bytes_out_per_s: f64,
+    /// A process of hollow workers over its workers: share of one core, MB.
+    pub cpu_share: f64,
+    pub memory_mb: f64,
+}
+
+/// What the state service served over the load.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct StateSummary {
+    pub requests_per_s: f64,
+    pub changes_per_s: f64,
+    pub refused: u64,
+    pub keys: usize,
+    pub bytes_in_per_s: f64,
+    pub bytes_out_per_s: f64,
+}
+
+/// The report of a run.
+#[derive(Debug, Default, Serialize)]
+pub struct Report {
+    pub plan: String,
+    pub seed: u64,
+    /// Whole, or why it ended early.
+    pub ended: String,
+    pub controllers: usize,
+    pub teams: usize,
+    pub load_s: f64,
+    pub phases: Vec<PhaseFigures>,
+    /// Best mean over ten seconds.
+    pub starts_per_s_peak: f64,
+    pub running_peak: usize,
+    /// Waits from submission to the first start of each task, by class and phase of arrival; `all` is the whole load.
+    pub waits: BTreeMap<String, BTreeMap<String, Wait>>,
+    pub submitted: u64,
+    pub accepted: u64,
+    pub given_up: u64,
+    pub user_retries: u64,
+    pub acceptance: Wait,
+    pub done: u64,
+    pub cancelled: u64,
+    /// Accepted jobs that were not over when the run ended.
+    pub open_at_end: usize,
+    /// Of those asked about at the end, how many nobody answered for.
+    pub unanswered_at_end: usize,
+    /// Jobs that were submitted late because the load side was behind, and the longest delay.
+    pub load_late: u64,
+    pub load_late_max_s: f64,
+    pub workers: WorkerFigures,
+    pub state: StateSummary,
+    pub leads: Vec<Lead>,
+    pub changes: Option<ChangeFigures>,
+    pub processes: Vec<ProcessFigures>,
+    pub events_judged: u64,
+    pub violations: Vec<Violation>,
+    pub seconds: Vec<Second>,
+}
+
+/// Changes of configuration: from the request to the answer that it is in force.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ChangeFigures {
+    pub asked: u64,
+    pub failed: u64,
+    pub set: Wait,
+    pub in_force: Wait,
+    /// Longer than three seconds.
+    pub late: u64,
+}
+
+/// Waits by class and phase.
+#[derive(Default)]
+pub struct Waits {
+    times: BTreeMap<(String, String), Times>,
+    seen: HashSet<String>,
+}
+
+/// The name under which a class's waits of the whole load stand.
+const ALL: &str = "all";
+
+impl Waits {
+    /// A task runs for the first time; false if it has run before.
+    pub fn first_start(&mut self, task: &str, class: &str, phase: &str, ms: u64) -> bool {
+        if !self.seen.insert(task.into()) {
+            return false;
+        }
+        for phase in [phase, ALL] {
+            self.times.entry((class.into(), phase.into())).or_default().record(ms);
+        }
+        true
+    }
+
+    pub fn table(&self) -> BTreeMap<String, BTreeMap<String, Wait>> {
+        let mut table: BTreeMap<String, BTreeMap<String, Wait>> = BTreeMap::new();
+        for ((class, phase), times) in &self.times {
+            table.entry(class.clone()).or_default().insert(phase.clone(), times.wait());
+        }
+        table
+    }
+}
+
+impl Report {
+    /// The best mean of starts over some seconds.
+    pub fn find_peak(&mut self) {
+        let best = self
+            .seconds
+            .windows(PEAK_SECONDS)
+            .map(|window| window.iter().map(|second| second.starts).sum::<u64>())
+            .max()
+            .unwrap_or(0);
+        self.starts_per_s_peak = best as f64 / PEAK_SECONDS as f64;
+        self.running_peak = self.seconds.iter().map(|second| second.running).max().unwrap_or(0);
+    }
+
+    /// The table for people.
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = self.write_table(&mut text);
+        text
+    }
+
+    fn write_table(&self, text: &mut String) -> std::fmt::Result {
+        writeln!(text, "{}: {}, seed {}", self.plan, self.ended, self.seed)?;
+        writeln!(
+            text,
+            "starts a second: {:.0} at the peak (10 s); running at most {}",
+            self.starts_per_s_peak, self.running_peak
+        )?;
+        for phase in &self.phases {
+            writeln!(
+                text,
+                "  {:<14} {:>6.0} planned {:>6.0} started",
+                phase.name, phase.planned_starts_per_s, phase.starts_per_s
+            )?;
+        }
+        writeln!(
+            text,
+            "jobs: {} submitted, {} accepted (p50 {:.3} p99 {:.3} max {:.2} s), {} given up, {} done, {} cancelled, {} open at the end, {} not answered for",
+            self.submitted,
+            self.accepted,
+            self.acceptance.p50_s,
+            self.acceptance.p99_s,
+            self.acceptance.max_s,
+            self.given_up,
+            self.done,
+            self.cancelled,
+            self.open_at_end,
+            self.unanswered_at_end
+        )?;
+        writeln!(text, "waits from submission to start, s:")?;
+        for (class, phases) in &self.waits {
+            for (phase, wait) in phases {
+                writeln!(
+                    text,
+                    "  {class:<12} {phase:<14} {:>8} tasks  p50 {:>7.2}  p99 {:>7.2}  max {:>7.2}",
+                    wait.count, wait.p50_s, wait.p99_s, wait.max_s
+                )?;
+            }
+        }
+        let workers = &self.workers;
+        writeln!(
+            text,
+            "a worker of {}: {:.2}% of a core, {:.2} MB (its process over its workers), {:.0} B/s in, {:.0} B/s out; all: {:.0} reports, {:.0} commands a second",
+            workers.workers_peak,
+            workers.cpu_share * 100.0,
+            workers.memory_mb,
+            workers.bytes_in_per_s,
+            workers.bytes_out_per_s,
+            workers.reports_per_s,
+            workers.commands_per_s
+        )?;
+        let state = &self.state;
+        writeln!(
+            text,
+            "state service: {:.0} requests, {:.0} changes a second, {} refused, {} keys",
+            state.requests_per_s, state.changes_per_s, state.refused, state.keys
+        )?;
+        for lead in &self.leads {
+            let seconds = |value: Option<f64>| value.map_or("-".into(), |value| format!("{value:.1} s"));
+            writeln!(
+                text,
+                "lead: {} at {:.1} s, after the kill {}, to its first start {}",
+                lead.node,
+                lead.at_s,
+                seconds(lead.after_kill_s),
+                seconds(lead.first_start_s)
+            )?;
+        }
+        if let Some(changes) = &self.changes {
+            writeln!(
+                text,
+                "configuration: {} changes, {} failed; set p50 {:.3} p99 {:.3} max {:.2} s; in force p50 {:.3} p99 {:.3} max {:.2} s, {} later than 3 s",
+                changes.asked,
+                changes.failed,
+                changes.set.p50_s,
+                changes.set.p99_s,
+                changes.set.max_s,
+                changes.in_force.p50_s,
+                changes.in_force.p99_s,
+                changes.in_force.max_s,
+                changes.late
+            )?;
+        }
+        writeln!(
+            text,
+            "{:<18} {:>9} {:>9} {:>9} {:>7}",
+            "process", "cpu mean", "cpu peak", "MB peak", "files"
+        )?;
+        for process in &self.processes {
+            writeln!(
+                text,
+                "{:<18} {:>9.3} {:>9.3} {:>9.0} {:>7}",
+                process.name, process.cpu_mean, process.cpu_peak, process.memory_peak_mb, process.files_peak
+            )?;
+        }
+        writeln!(text, "load side late with {} jobs, at most {:.1} s", self.load_late, self.load_late_max_s)?;
+        writeln!(text, "check: {} events judged, {} violations", self.events_judged, self.violations.len())
+    }
+}
--- /dev/null
+++ b/crates/scale/src/page.rs
@@ -0,0 +1,99 @@
+//! The report as a page with plots over time.
+
+use std::fmt::Write as _;
+
+use plotters::prelude::*;
+
+use crate::figures::{Report, Second};
+
+const SIZE: (u32, u32) = (900, 260);
+const MARGIN: u32 = 10;
+const LABELS_WIDTH: u32 = 70;
+const LABELS_HEIGHT: u32 = 30;
+const FONT: (&str, u32) = ("sans-serif", 16);
+
+/// A line of a plot.
+struct Line {
+    name: &'static str,
+    color: RGBColor,
+    value: fn(&Second) -> f64,
+}
+
+fn line(name: &'static str, color: RGBColor, value: fn(&Second) -> f64) -> Line {
+    Line { name, color, value }
+}
+
+/// The page: the table, and a plot of each kind of figure.
+pub fn page(report: &Report) -> String {
+    let plots = [
+        ("Task starts a second", vec![line("starts", BLUE, |second| second.starts as f64)]),
+        (
+            "Tasks",
+            vec![
+                line("on workers", BLUE, |second| second.running as f64),
+                line("waiting", RED, |second| second.waiting.max(0) as f64),
+            ],
+        ),
+        ("Workers", vec![line("workers", BLUE, |second| second.workers as f64)]),
+        (
+            "Processor time, shares of a core",
+            vec![
+                line("leader", RED, |second| second.leader_cpu),
+                line("all controllers", BLUE, |second| second.controllers_cpu),
+                line("state service", GREEN, |second| second.state_cpu),
+                line("hollow workers", BLACK, |second| second.workers_cpu),
+                line("load", MAGENTA, |second| second.load_cpu),
+            ],
+        ),
+    ];
+    let mut html = String::from(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Scale run</title>\n\
+         <style>body{font-family:sans-serif;max-width:60em;margin:2em auto}pre{overflow-x:auto}</style>\n",
+    );
+    // Writing to a string cannot fail.
+    let _ = writeln!(html, "<h1>Scale run</h1>\n<pre>{}</pre>", escaped(&report.table()));
+    for (title, lines) in plots {
+        let _ = writeln!(html, "<h2>{title}</h2>\n{}", plot(&report.seconds, &lines));
+    }
+    html.push_str("</html>\n");
+    html
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The plot as SVG; an empty one where nothing was measured.
+fn plot(seconds: &[Second], lines: &[Line]) -> String {
+    let mut svg = String::new();
+    let drawn = draw(&mut svg, seconds, lines);
+    match drawn {
+        Ok(()) => svg,
+        Err(error) => format!("<p>no plot: {}</p>", escaped(&error.to_string())),
+    }
+}
+
+fn draw(svg: &mut String, seconds: &[Second], lines: &[Line]) -> Result<(), Box<dyn std::error::Error>> {
+    let last = seconds.last().map_or(1, |second| second.at_s).max(1);
+    let highest = seconds.iter().flat_map(|second| lines.iter().map(|line| (line.value)(second)));
+    let highest = highest.fold(0.0, f64::max).max(1e-3) * 1.05;
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(MARGIN)
+        .x_label_area_size(LABELS_HEIGHT)
+        .y_label_area_size(LABELS_WIDTH)
+        .build_cartesian_2d(0..last, 0.0..highest)?;
+    chart.configure_mesh().x_desc("seconds of the load").label_style(FONT).draw()?;
+    for line in lines {
+        let points = seconds.iter().map(|second| (second.at_s, (line.value)(second)));
+        let color = line.color;
+        chart
+            .draw_series(LineSeries::new(points, &color))?
+            .label(line.name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 20, y)], color));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).label_font(FONT).draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/scale/src/processes.rs
@@ -0,0 +1,161 @@
+//! The run's processes: started, sampled by the kernel's own accounts, frozen, killed, and all ended with the run.
+
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use procfs::Current;
+use procfs::process::Process;
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, setrlimit};
+use serde::Serialize;
+
+use crate::error::{ScaleError, io_error};
+
+/// What a process does in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    Controller,
+    StateService,
+    HollowWorkers,
+    /// The run itself: users, cloud, check.
+    Load,
+}
+
+/// What the kernel says of a process.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Sample {
+    /// Seconds of processor time, user and system, since its start.
+    pub processor_s: f64,
+    pub memory_bytes: u64,
+    /// Open files, sockets above all.
+    pub files: usize,
+}
+
+/// One process of the run.
+pub struct Managed {
+    pub name: String,
+    pub role: Role,
+    command: Launch,
+    child: Option<Child>,
+}
+
+/// How a process is started, and started again.
+#[derive(Clone)]
+pub struct Launch {
+    pub program: PathBuf,
+    pub arguments: Vec<String>,
+    pub log: PathBuf,
+    pub log_level: String,
+}
+
+impl Launch {
+    fn start(&self) -> io::Result<Child> {
+        let log: File = OpenOptions::new().create(true).append(true).open(&self.log)?;
+        Command::new(&self.program)
+            .args(&self.arguments)
+            .env("LOG_LEVEL", &self.log_level)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+    }
+}
+
+impl Managed {
+    pub fn start(name: String, role: Role, command: Launch) -> Result<Managed, ScaleError> {
+        let child = command.start().map_err(io_error(format!("starting {name}")))?;
+        Ok(Managed { name, role, command, child: Some(child) })
+    }
+
+    fn pid(&self) -> Option<Pid> {
+        self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32))
+    }
+
+    /// None: it does not run.
+    pub fn sample(&self) -> Option<Sample> {
+        let child = self.child.as_ref()?;
+        sample(Process::new(child.id() as i32).ok()?)
+    }
+
+    /// Has it ended by itself?
+    pub fn has_ended(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => matches!(child.try_wait(), Ok(Some(_))),
+            None => false,
+        }
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // One that has ended already needs no signal.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn restart(&mut self) -> Result<(), ScaleError> {
+        self.kill();
+        let child = self.command.start().map_err(io_error(format!("starting {} again", self.name)))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// It stands still, or goes on.
+    pub fn freeze(&self, frozen: bool) {
+        let signal = if frozen { Signal::STOP } else { Signal::CONT };
+        if let Some(pid) = self.pid() {
+            // One that has ended can neither stand still nor go on.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Managed {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn sample(process: Process) -> Option<Sample> {
+    let stat = process.stat().ok()?;
+    Some(Sample {
+        processor_s: (stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64,
+        memory_bytes: stat.rss * procfs::page_size(),
+        files: process.fd_count().unwrap_or(0),
+    })
+}
+
+/// The run's own process.
+pub fn sample_self() -> Sample {
+    Process::myself().ok().and_then(sample).unwrap_or_default()
+}
+
+/// All of the machine's memory and what of it is free, in bytes.
+pub fn memory() -> Result<(u64, u64), ScaleError> {
+    let info = procfs::Meminfo::current()
+        .map_err(|error| ScaleError::Process(format!("the machine's memory is not known: {error}")))?;
+    Ok((info.mem_total, info.mem_available.unwrap_or(info.mem_free)))
+}
+
+/// Sees to it that this process and those it starts may open so many files.
+pub fn allow_files(wanted: u64) -> Result<(), ScaleError> {
+    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    if current.is_none_or(|current| current >= wanted) {
+        return Ok(());
+    }
+    if maximum.is_some_and(|maximum| maximum < wanted) {
+        let most = maximum.unwrap_or(0);
+        return Err(ScaleError::Refused(format!(
+            "a process needs {wanted} open files, the machine allows {most} (ulimit -n)"
+        )));
+    }
+    setrlimit(Resource::Nofile, Rlimit { current: Some(wanted), maximum })
+        .map_err(|error| ScaleError::Refused(format!("{wanted} open files are not allowed: {error}")))
+}
+
+/// A folder for what the run leaves: logs, settings, the state file.
+pub fn make_folder(path: &Path) -> Result<(), ScaleError> {
+    std::fs::create_dir_all(path).map_err(io_error(path.display().to_string()))
+}
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,880 @@
+//! One run: everything is started, loaded, struck, watched, asked at the end, and ended.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use olivelatch_net::caller::{Caller, Slot};
+use olivelatch_net::http::Response;
+use olivelatch_net::poll::{Gate, Keys};
+use olivelatch_net::server::{HttpServer, Port};
+use olivelatch_region::{Plan as Addresses, controller_name, controller_place, controller_settings};
+use polling::Events;
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use crate::arrivals::Arrivals;
+use crate::check::{Cancelled, Check, JobFacts};
+use crate::cloud::RunCloud;
+use crate::control::{StateFigures, TaskEvent, TaskEventKind, ZoneCommand, ZoneNews};
+use crate::error::{ScaleError, io_error};
+use crate::figures::{Lead, PhaseFigures, ProcessFigures, Report, Second, Times, Waits};
+use crate::hollow::{RunClock, ZoneArguments, unix_ms};
+use crate::page;
+use crate::plan::{FaultKind, Plan};
+use crate::processes::{Launch, Managed, Role, allow_files, make_folder, memory, sample_self};
+use crate::state::StateArguments;
+use crate::users::{Outcome, Users};
+
+/// What a run is told on the command line.
+#[derive(Debug, Clone)]
+pub struct RunArguments {
+    pub plan: PathBuf,
+    pub out: PathBuf,
+    /// The program whose hidden commands serve controllers, workers and the state service: `latch` itself.
+    pub program: PathBuf,
+    /// The controllers' log level.
+    pub log_level: String,
+}
+
+const WAIT_MS: u64 = 10;
+/// Zones are asked for news this often.
+const NEWS_MS: u64 = 200;
+const SAMPLE_MS: u64 = 1_000;
+/// Machines come up and go within this after they are due.
+const CLOUD_MS: u64 = 100;
+const PROGRESS_MS: u64 = 5_000;
+/// Commands in one message to a zone.
+const COMMAND_BYTES: usize = 48 * 1024;
+const CONTROL_PATIENCE_MS: u64 = 10_000;
+/// Jobs are told to the workers so long before they are submitted.
+const DESCRIBE_AHEAD_MS: u64 = 2_000;
+/// A submission that goes out later than planned by more than this is the load side's delay.
+const LATE_MS: u64 = 250;
+const START_PATIENCE_MS: u64 = 30_000;
+const LAST_QUESTIONS_MS: u64 = 60_000;
+/// Expected memory: a hollow worker, a controller, the rest.
+const WORKER_BYTES: u64 = 200_000;
+const CONTROLLER_BYTES: u64 = 120_000_000;
+const REST_BYTES: u64 = 500_000_000;
+/// Files a process needs beside its connections.
+const SPARE_FILES: u64 = 500;
+
+/// Slots of the run's calls: zones, the state service, then users.
+const STATE_SLOT: usize = 1_000;
+const FIRST_USER: usize = 10_000;
+
+/// How the run talks to one process of hollow workers.
+#[derive(Default)]
+struct ZoneLink {
+    address: Option<SocketAddr>,
+    queue: VecDeque<ZoneCommand>,
+    /// Commands queued, sent in the open message, and taken.
+    queued: u64,
+    open: Option<u64>,
+    taken: u64,
+    next: u64,
+    news: ZoneNews,
+    /// As it was when the load began.
+    before: ZoneNews,
+}
+
+/// A fault, or its end.
+enum Strike {
+    Begin(FaultKind),
+    RoomIsBack,
+    Restart(usize),
+    Thaw(usize),
+    Heal(Vec<String>),
+}
+
+struct Run {
+    plan: Plan,
+    clock: RunClock,
+    gate: Arc<Gate>,
+    keys: Keys,
+    server: HttpServer,
+    caller: Caller,
+    cloud: RunCloud,
+    cloud_next: u64,
+    zones: Vec<ZoneLink>,
+    controllers: Vec<SocketAddr>,
+    processes: Vec<Managed>,
+    figures: Vec<ProcessFigures>,
+    own: ProcessFigures,
+    state_control: SocketAddr,
+    state: StateFigures,
+    state_before: StateFigures,
+    state_next: u64,
+    state_open: bool,
+    users: Users,
+    arrivals: Arrivals,
+    by_job: HashMap<String, usize>,
+    check: Check,
+    /// Events that wait until those of all zones up to their time are there.
+    events: Vec<TaskEvent>,
+    waits: Waits,
+    acceptance: Times,
+    strikes: Vec<(u64, Strike)>,
+    /// When the load begins; all its times count from there.
+    load_from: u64,
+    killed_leader: Option<u64>,
+    newest_token: u64,
+    report: Report,
+    starts: u64,
+    waiting: i64,
+    sampled: u64,
+    progress: u64,
+    stop: Arc<AtomicBool>,
+    memory_limit: u64,
+}
+
+/// Plays a plan. Exit code 1: a rule was broken.
+pub fn run(arguments: &RunArguments) -> Result<ExitCode, ScaleError> {
+    let plan = Plan::load(&arguments.plan)?;
+    let memory_limit = refuse_if_too_small(&plan)?;
+    make_folder(&arguments.out)?;
+    let mut run = Run::start(plan, arguments, memory_limit)?;
+    let ended = run.play();
+    run.report.ended = match &ended {
+        Ok(()) if run.stop.load(Ordering::Relaxed) => "interrupted".into(),
+        Ok(()) => "played whole".into(),
+        Err(error) => format!("ended early: {error}"),
+    };
+    run.finish(&arguments.out)?;
+    ended?;
+    let interrupted = run.stop.load(Ordering::Relaxed);
+    let broken = !run.report.violations.is_empty();
+    Ok(if broken || interrupted { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+/// The memory that all processes together may take, if the machine is large enough for the plan.
+fn refuse_if_too_small(plan: &Plan) -> Result<u64, ScaleError> {
+    let workers = plan.most_workers() as u64;
+    allow_files(3 * workers + SPARE_FILES)?;
+    let (total, free) = memory()?;
+    let wanted = workers * WORKER_BYTES + plan.controllers as u64 * CONTROLLER_BYTES + REST_BYTES;
+    let limit = total / 2;
+    if wanted > limit.min(free) {
+        return Err(ScaleError::Refused(format!(
+            "about {} MB are needed; {} MB are free, and half of the machine's memory is {} MB",
+            wanted / 1_000_000,
+            free / 1_000_000,
+            limit / 1_000_000
+        )));
+    }
+    Ok(limit)
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Addresses that are free now, all different.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, ScaleError> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind(loopback(0)))
+        .collect::<Result<_, _>>()
+        .map_err(io_error("free ports"))?;
+    listeners.iter().map(|listener| listener.local_addr().map_err(io_error("free ports"))).collect()
+}
+
+fn to_json(value: &impl serde::Serialize, what: &str) -> Result<String, ScaleError> {
+    serde_json::to_string(value).map_err(|error| ScaleError::Json { what: what.into(), error })
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), ScaleError> {
+    std::fs::write(path, text).map_err(io_error(path.display().to_string()))
+}
+
+/// Starts all processes of a run.
+struct Starter<'a> {
+    plan: &'a Plan,
+    arguments: &'a RunArguments,
+    epoch_ms: u64,
+}
+
+impl Starter<'_> {
+    fn launch(&self, name: &str, arguments: Vec<String>) -> Launch {
+        Launch {
+            program: self.arguments.program.clone(),
+            arguments,
+            log: self.arguments.out.join(format!("{name}.log")),
+            log_level: self.arguments.log_level.clone(),
+        }
+    }
+
+    fn state(&self, address: SocketAddr, control: SocketAddr) -> Result<Managed, ScaleError> {
+        let file = self.arguments.out.join("state.redb");
+        // A run begins with nothing.
+        let _ = std::fs::remove_file(&file);
+        let state = &self.plan.state;
+        let told = StateArguments {
+            address,
+            control,
+            file,
+            epoch_ms: self.epoch_ms,
+            requests_per_s: state.requests_per_s,
+            changes_per_s: state.changes_per_s,
+            value_bytes: (state.value_kb * 1024.0) as usize,
+            txn_changes: state.txn_changes,
+        };
+        let arguments = vec!["scale".into(), "state".into(), to_json(&told, "arguments")?];
+        Managed::start("state".into(), Role::StateService, self.launch("state", arguments))
+    }
+
+    fn zone(
+        &self,
+        at: usize,
+        control: SocketAddr,
+        controllers: &[SocketAddr],
+    ) -> Result<Managed, ScaleError> {
+        let ms = |seconds: f64| (seconds * 1000.0) as u64;
+        let workers = &self.plan.workers;
+        let told = ZoneArguments {
+            control,
+            controllers: controllers.to_vec(),
+            epoch_ms: self.epoch_ms,
+            report_ms: ms(workers.report_s),
+            lease_ms: ms(workers.lease_s),
+            gang_wait_ms: ms(workers.gang_wait_s),
+            gang_peer_ms: ms(workers.gang_peer_s),
+            seed: self.plan.seed.wrapping_add(at as u64 + 1),
+            defect: self.plan.defect,
+        };
+        let name = format!("workers {}", self.plan.zones[at]);
+        let arguments = vec!["scale".into(), "zone".into(), to_json(&told, "arguments")?];
+        Managed::start(name.clone(), Role::HollowWorkers, self.launch(&name.replace(' ', "-"), arguments))
+    }
+
+    fn controller(&self, at: usize, addresses: &Addresses) -> Result<Managed, ScaleError> {
+        let name = controller_name(at);
+        let out = &self.arguments.out;
+        let (settings, tunables) = (out.join(format!("{name}.json")), out.join("tunables.hcl"));
+        write_file(&settings, &controller_settings(addresses, at, &self.plan.platform()).to_string())?;
+        write_file(&tunables, &self.plan.tunables)?;
+        let arguments = ["controller", "serve", "--tunables"].map(String::from).into_iter();
+        let files = [tunables.display().to_string(), "--config".into(), settings.display().to_string()];
+        let arguments = arguments.chain(files).collect();
+        Managed::start(name.clone(), Role::Controller, self.launch(&name, arguments))
+    }
+}
+
+impl Run {
+    fn start(plan: Plan, arguments: &RunArguments, memory_limit: u64) -> Result<Run, ScaleError> {
+        let stop = Arc::new(AtomicBool::new(false));
+        for signal in [SIGINT, SIGTERM] {
+            signal_hook::flag::register(signal, stop.clone()).map_err(io_error("signals"))?;
+        }
+        let count = plan.controllers;
+        let free = free_addresses(2 * count + plan.zones.len() + 4)?;
+        let (controllers, rest) = free.split_at(count);
+        let (meshes, rest) = rest.split_at(count);
+        let (zone_controls, rest) = rest.split_at(plan.zones.len());
+        let addresses = Addresses {
+            state: rest[0],
+            cloud: rest[1],
+            desk: rest[1],
+            controllers: controllers.to_vec(),
+            meshes: meshes.to_vec(),
+        };
+        let (state_control, worker_port) = (rest[2], rest[3].port());
+        let gate = Arc::new(Gate::new().map_err(io_error("the poller"))?);
+        let (mut keys, mut server) = (Keys::default(), HttpServer::new(&gate));
+        server.listen(&mut keys, addresses.cloud, Port(0)).map_err(io_error("the cloud's address"))?;
+        let epoch_ms = unix_ms();
+        let starter = Starter { plan: &plan, arguments, epoch_ms };
+        let mut processes = vec![starter.state(addresses.state, state_control)?];
+        for (at, control) in zone_controls.iter().enumerate() {
+            processes.push(starter.zone(at, *control, controllers)?);
+        }
+        for at in 0..count {
+            processes.push(starter.controller(at, &addresses)?);
+        }
+        let link = |address: &SocketAddr| ZoneLink { address: Some(*address), ..ZoneLink::default() };
+        let limits = plan.team_plans().iter().map(|team| team.limit).collect();
+        let mut run = Run {
+            clock: RunClock::new(epoch_ms),
+            cloud: RunCloud::new(&plan, worker_port),
+            cloud_next: 0,
+            zones: zone_controls.iter().map(link).collect(),
+            controllers: controllers.to_vec(),
+            figures: processes
+                .iter()
+                .map(|process| ProcessFigures::new(&process.name, process.role))
+                .collect(),
+            own: ProcessFigures::new("load, cloud, check", Role::Load),
+            processes,
+            state_control,
+            state: StateFigures::default(),
+            state_before: StateFigures::default(),
+            state_next: 0,
+            state_open: false,
+            users: Users::new(count, plan.seed),
+            arrivals: Arrivals::new(&plan),
+            by_job: HashMap::new(),
+            check: Check::new(limits),
+            events: Vec::new(),
+            waits: Waits::default(),
+            acceptance: Times::default(),
+            strikes: Vec::new(),
+            load_from: u64::MAX,
+            killed_leader: None,
+            newest_token: 0,
+            report: Report::default(),
+            starts: 0,
+            waiting: 0,
+            sampled: 0,
+            progress: 0,
+            stop,
+            memory_limit,
+            caller: Caller::new(&gate),
+            gate,
+            keys,
+            server,
+            plan,
+        };
+        run.report.plan = arguments.plan.display().to_string();
+        run.report.seed = run.plan.seed;
+        run.report.controllers = count;
+        run.report.teams = run.plan.teams.count;
+        run.report.load_s = run.plan.load_s();
+        Ok(run)
+    }
+
+    fn play(&mut self) -> Result<(), ScaleError> {
+        self.wait_for_leader()?;
+        let settled = self.clock.now() + (self.plan.settle_s * 1000.0) as u64;
+        self.until(settled, |_| false)?;
+        self.begin_load();
+        let load_end = self.load_from + (self.plan.load_s() * 1000.0) as u64;
+        self.until(load_end, |_| false)?;
+        self.end_load(load_end);
+        let drained = load_end + (self.plan.drain_s * 1000.0) as u64;
+        self.until(drained, |run| run.users.open() == 0)?;
+        self.users.ask_all(self.clock.now());
+        let asked = self.clock.now() + LAST_QUESTIONS_MS;
+        self.until(asked, |run| run.users.unanswered() == 0)?;
+        let settled = self.clock.now() + 2 * NEWS_MS;
+        self.until(settled, |_| false)
+    }
+
+    fn wait_for_leader(&mut self) -> Result<(), ScaleError> {
+        let patience = self.clock.now() + START_PATIENCE_MS;
+        self.until(patience, |run| run.state.leader.is_some())?;
+        if self.state.leader.is_none() && !self.stop.load(Ordering::Relaxed) {
+            return Err(ScaleError::Process(format!(
+                "no controller leads after {} s",
+                START_PATIENCE_MS / 1000
+            )));
+        }
+        Ok(())
+    }
+
+    /// Goes on until a time, or until something is so, or until it is told to stop.
+    fn until(&mut self, end: u64, done: impl Fn(&Run) -> bool) -> Result<(), ScaleError> {
+        let mut events = Events::new();
+        while self.clock.now() < end && !done(self) && !self.stop.load(Ordering::Relaxed) {
+            events.clear();
+            match self.gate.wait(&mut events, Duration::from_millis(WAIT_MS)) {
+                Ok(_) => {}
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(io_error("the poller")(error)),
+            }
+            let ready: Vec<usize> = events.iter().map(|event| event.key).collect();
+            for key in ready {
+                self.event(key)?;
+            }
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, key: usize) -> Result<(), ScaleError> {
+        let now = self.clock.now();
+        if self.server.owns(key) {
+            let mut next = self.server.event(&mut self.keys, key, now);
+            while let Some(incoming) = next {
+                let request = &incoming.request;
+                let (status, body) = self.cloud.call(&request.method, &request.path, &request.body, now);
+                next = self.server.answer(incoming.conn, status, body.to_string().as_bytes());
+            }
+        } else if self.caller.owns(key)
+            && let Some((slot, response)) = self.caller.event(key)
+        {
+            self.answered(slot, response.as_ref())?;
+        }
+        Ok(())
+    }
+
+    fn answered(&mut self, slot: Slot, response: Option<&Response>) -> Result<(), ScaleError> {
+        match slot.0 {
+            zone if zone < self.zones.len() => self.zone_answered(zone, response),
+            STATE_SLOT => self.state_answered(response),
+            user => {
+                self.caller.hang_up(slot);
+                self.user_answered(user - FIRST_USER, response);
+                Ok(())
+            }
+        }
+    }
+
+    fn step(&mut self) -> Result<(), ScaleError> {
+        let now = self.clock.now();
+        for (slot, response) in self.caller.expire(now) {
+            self.answered(slot, response.as_ref())?;
+        }
+        self.server.expire(now);
+        if now >= self.cloud_next {
+            self.cloud_next = now + CLOUD_MS;
+            for (zone, command) in self.cloud.follow(now) {
+                self.command(zone, command);
+            }
+        }
+        self.strike(now)?;
+        self.arrive(now);
+        self.call_users(now);
+        for zone in 0..self.zones.len() {
+            self.call_zone(zone, now)?;
+        }
+        if now >= self.state_next && !self.state_open {
+            self.state_next = now + NEWS_MS;
+            self.state_open = true;
+            let request = ("GET", "/figures", b"".as_slice());
+            self.caller.call(
+                &mut self.keys,
+                Slot(STATE_SLOT),
+                self.state_control,
+                request,
+                now + CONTROL_PATIENCE_MS,
+            );
+        }
+        self.judge();
+        if now >= self.sampled + SAMPLE_MS {
+            self.sample(now)?;
+        }
+        Ok(())
+    }
+
+    fn command(&mut self, zone: usize, command: ZoneCommand) -> u64 {
+        let link = &mut self.zones[zone];
+        link.queue.push_back(command);
+        link.queued += 1;
+        link.queued
+    }
+
+    fn call_zone(&mut self, zone: usize, now: u64) -> Result<(), ScaleError> {
+        let link = &mut self.zones[zone];
+        let Some(address) = link.address else { return Ok(()) };
+        if link.open.is_some() || (link.queue.is_empty() && now < link.next) {
+            return Ok(());
+        }
+        link.next = now + NEWS_MS;
+        let (mut commands, mut bytes) = (Vec::new(), 0);
+        while bytes < COMMAND_BYTES
+            && let Some(command) = link.queue.pop_front()
+        {
+            let text = to_json(&command, "a command")?;
+            bytes += text.len() + 1;
+            commands.push(text);
+        }
+        link.open = Some(commands.len() as u64);
+        let body = format!("[{}]", commands.join(","));
+        let request = ("POST", "/commands", body.as_bytes());
+        self.caller.call(&mut self.keys, Slot(zone), address, request, now + CONTROL_PATIENCE_MS);
+        Ok(())
+    }
+
+    fn zone_answered(&mut self, zone: usize, response: Option<&Response>) -> Result<(), ScaleError> {
+        let name = &self.plan.zones[zone];
+        // While the processes start, nobody listens yet; commands that were not taken are lost then.
+        let Some(response) = response else {
+            let link = &mut self.zones[zone];
+            if link.taken == 0 && link.news.until_ms == 0 && self.clock.now() < START_PATIENCE_MS {
+                return self.begin_again(zone);
+            }
+            return Err(ScaleError::Process(format!("the hollow workers of {name} do not answer")));
+        };
+        let news: ZoneNews = serde_json::from_slice(&response.body)
+            .map_err(|error| ScaleError::Json { what: format!("news of {name}"), error })?;
+        let link = &mut self.zones[zone];
+        link.taken += link.open.take().unwrap_or(0);
+        self.events.extend(news.events.iter().cloned());
+        link.news = ZoneNews { events: Vec::new(), ..news };
+        Ok(())
+    }
+
+    /// The process of a zone was not there yet: all machines are told to it again.
+    fn begin_again(&mut self, zone: usize) -> Result<(), ScaleError> {
+        let link = &mut self.zones[zone];
+        link.open = None;
+        link.queue.clear();
+        link.queued = 0;
+        link.next = self.clock.now() + NEWS_MS;
+        self.cloud.forget_zone(zone);
+        Ok(())
+    }
+
+    fn state_answered(&mut self, response: Option<&Response>) -> Result<(), ScaleError> {
+        self.state_open = false;
+        let now = self.clock.now();
+        let Some(response) = response else {
+            if now < START_PATIENCE_MS {
+                return Ok(());
+            }
+            return Err(ScaleError::Process("the state service does not answer".into()));
+        };
+        let figures: StateFigures = serde_json::from_slice(&response.body)
+            .map_err(|error| ScaleError::Json { what: "the state service's figures".into(), error })?;
+        if let Some(leader) =
+            figures.leader.as_ref().filter(|leader| self.state.leader.as_ref() != Some(leader))
+        {
+            let after_kill_s = self.killed_leader.map(|at| now.saturating_sub(at) as f64 / 1000.0);
+            let at_s = now.saturating_sub(self.load_from) as f64 / 1000.0;
+            self.report.leads.push(Lead { at_s, node: leader.clone(), after_kill_s, first_start_s: None });
+        }
+        self.state = figures;
+        Ok(())
+    }
+
+    fn begin_load(&mut self) {
+        self.load_from = self.clock.now();
+        self.state_before = self.state.clone();
+        for link in &mut self.zones {
+            link.before = link.news.clone();
+        }
+        let strikes = self.plan.faults.values().cloned();
+        self.strikes = strikes
+            .map(|fault| (self.load_from + (fault.at_s() * 1000.0) as u64, Strike::Begin(fault)))
+            .collect();
+    }
+
+    /// Jobs that arrive within the time in which workers are told of them.
+    fn arrive(&mut self, now: u64) {
+        if self.load_from == u64::MAX {
+            return;
+        }
+        let until = (now + DESCRIBE_AHEAD_MS).saturating_sub(self.load_from);
+        while let Some(arrival) = self.arrivals.next_until(until) {
+            let describe = ZoneCommand::Describe(arrival.description.clone());
+            let zones = 0..self.zones.len();
+            let described_by = zones.map(|zone| self.command(zone, describe.clone())).collect();
+            let facts = JobFacts { team: arrival.team, cpus: arrival.cpus };
+            self.check.submitted(&arrival.job, facts);
+            self.by_job.insert(arrival.job.clone(), self.users.all.len());
+            let at_ms = self.load_from + arrival.at_ms;
+            self.users.arrive(arrival, at_ms, described_by);
+            self.report.submitted += 1;
+        }
+    }
+
+    fn call_users(&mut self, now: u64) {
+        let taken: Vec<u64> = self.zones.iter().map(|zone| zone.taken).collect();
+        for call in self.users.due(now, self.load_from, &taken) {
+            let user = &self.users.all[call.user];
+            let late_ms = now.saturating_sub(self.load_from + user.arrival.at_ms);
+            if user.first_call && late_ms > LATE_MS {
+                self.report.load_late += 1;
+                self.report.load_late_max_s = self.report.load_late_max_s.max(late_ms as f64 / 1000.0);
+            }
+            let slot = Slot(FIRST_USER + call.user);
+            let request = (call.method, call.path.as_str(), call.body.as_slice());
+            let address = self.controllers[call.controller];
+            if !self.caller.call(&mut self.keys, slot, address, request, call.until_ms) {
+                self.user_answered(call.user, None);
+            }
+        }
+    }
+
+    fn user_answered(&mut self, at: usize, response: Option<&Response>) {
+        let now = self.clock.now();
+        let outcome = self.users.answered(at, response, now);
+        let arrival = &self.users.all[at].arrival;
+        let (job, tasks) = (arrival.job.clone(), i64::from(arrival.tasks));
+        match outcome {
+            Outcome::Nothing => {}
+            Outcome::Accepted { after_ms } => {
+                self.report.accepted += 1;
+                self.waiting += tasks;
+                self.acceptance.record(after_ms);
+            }
+            Outcome::Cancelled => {
+                self.report.cancelled += 1;
+                let cancel_ms = (self.plan.workers.cancel_s * 1000.0) as u64;
+                self.check.cancelled(&job, Cancelled { at_ms: now, gone_by_ms: now + cancel_ms });
+            }
+            Outcome::Done => self.report.done += 1,
+            Outcome::GivenUp => self.report.given_up += 1,
+            Outcome::Forgotten => self.check.forgotten(&job),
+            Outcome::WentBack => self.check.went_back(&job),
+        }
+    }
+
+    /// Judges the events up to the time that all zones have told of.
+    fn judge(&mut self) {
+        let until = self.zones.iter().map(|zone| zone.news.until_ms).min().unwrap_or(0);
+        let mut ripe: Vec<TaskEvent> = Vec::new();
+        self.events.retain(|event| {
+            let take = event.at_ms < until;
+            if take {
+                ripe.push(event.clone());
+            }
+            !take
+        });
+        // What leaves a worker in a millisecond leaves before what comes: clocks of processes tell no more.
+        let comes = |event: &TaskEvent| matches!(event.kind, TaskEventKind::On | TaskEventKind::Runs);
+        ripe.sort_by_key(|event| (event.at_ms, comes(event)));
+        for event in &ripe {
+            self.check.take(event);
+            self.started(event);
+        }
+        self.check.pass(until);
+    }
+
+    fn started(&mut self, event: &TaskEvent) {
+        const TOKEN_SHIFT: u32 = 24;
+        let token = event.attempt >> TOKEN_SHIFT;
+        if event.kind == TaskEventKind::On && token > self.newest_token {
+            self.newest_token = token;
+            if let Some(lead) = self.report.leads.last_mut() {
+                let from = self
+                    .killed_leader
+                    .map_or(self.load_from as f64 / 1000.0 + lead.at_s, |at| at as f64 / 1000.0);
+                lead.first_start_s = Some(event.at_ms as f64 / 1000.0 - from);
+            }
+        }
+        if event.kind != TaskEventKind::Runs {
+            return;
+        }
+        self.starts += 1;
+        let Some(user) = event.task.split('/').next().and_then(|job| self.by_job.get(job)) else { return };
+        let arrival = &self.users.all[*user].arrival;
+        let phase = self.phase_at(arrival.at_ms).unwrap_or("after").to_string();
+        let wait_ms = event.at_ms.saturating_sub(self.load_from + arrival.at_ms);
+        if self.waits.first_start(&event.task, &arrival.class, &phase, wait_ms) {
+            self.waiting -= 1;
+        }
+    }
+
+    /// The phase at a time of the load.
+    fn phase_at(&self, at_ms: u64) -> Option<&str> {
+        let mut end_s = 0.0;
+        let mut phases = self.plan.phases.iter();
+        let found = phases.find(|(_, phase)| {
+            end_s += phase.seconds;
+            (at_ms as f64) < end_s * 1000.0
+        });
+        found.map(|(name, _)| name.as_str())
+    }
+
+    fn leader(&self) -> Option<usize> {
+        controller_place(self.state.leader.as_deref()?, self.controllers.len())
+    }
+
+    /// The process of a controller: they come last.
+    fn controller_process(&self, at: usize) -> usize {
+        self.processes.len() - self.controllers.len() + at
+    }
+
+    fn strike(&mut self, now: u64) -> Result<(), ScaleError> {
+        let due: Vec<usize> = (0..self.strikes.len()).filter(|at| self.strikes[*at].0 <= now).collect();
+        for at in due.into_iter().rev() {
+            let (_, strike) = self.strikes.swap_remove(at);
+            self.carry_out(strike, now)?;
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, strike: Strike, now: u64) -> Result<(), ScaleError> {
+        let later = |seconds: f64| now + (seconds * 1000.0) as u64;
+        match strike {
+            Strike::Begin(FaultKind::KillLeader { back_s, .. }) => {
+                let Some(leader) = self.leader() else { return Ok(()) };
+                self.killed_leader = Some(now);
+                let process = self.controller_process(leader);
+                self.processes[process].kill();
+                println!("killed the leader, {}", controller_name(leader));
+                self.strikes.push((later(back_s), Strike::Restart(process)));
+            }
+            Strike::Begin(FaultKind::KillWorkers { share, back_s, .. }) => {
+                self.cloud.lose(share);
+                println!("lost {:.0}% of the workers", share * 100.0);
+                self.strikes.push((later(back_s), Strike::RoomIsBack));
+            }
+            Strike::Begin(FaultKind::Freeze { leader, for_s, .. }) => {
+                let Some(leads) = self.leader() else { return Ok(()) };
+                let at = if leader { leads } else { (leads + 1) % self.controllers.len() };
+                let process = self.controller_process(at);
+                self.processes[process].freeze(true);
+                println!("{} stands still", controller_name(at));
+                self.strikes.push((later(for_s), Strike::Thaw(process)));
+            }
+            Strike::Begin(FaultKind::CutZones { zones, for_s, .. }) => {
+                println!("cut off: {}", zones.join(", "));
+                self.cut(&zones, true);
+                self.strikes.push((later(for_s), Strike::Heal(zones)));
+            }
+            Strike::RoomIsBack => self.cloud.room_is_back(&self.plan),
+            Strike::Restart(process) => self.processes[process].restart()?,
+            Strike::Thaw(process) => self.processes[process].freeze(false),
+            Strike::Heal(zones) => self.cut(&zones, false),
+        }
+        Ok(())
+    }
+
+    fn cut(&mut self, zones: &[String], cut: bool) {
+        for at in 0..self.zones.len() {
+            if zones.contains(&self.plan.zones[at]) {
+                self.command(at, ZoneCommand::Cut(cut));
+            }
+        }
+    }
+
+    fn sample(&mut self, now: u64) -> Result<(), ScaleError> {
+        self.sampled = now;
+        let mut second = Second {
+            at_s: now.saturating_sub(self.load_from) / 1000,
+            starts: std::mem::take(&mut self.starts),
+            running: self.zones.iter().map(|zone| zone.news.on).sum(),
+            workers: self.zones.iter().map(|zone| zone.news.workers).sum(),
+            waiting: self.waiting,
+            reports: self.zones.iter().map(|zone| zone.news.reports).sum(),
+            state_requests: self.state.requests,
+            state_changes: self.state.changes,
+            load_cpu: self.own.take(now, Some(sample_self())),
+            ..Second::default()
+        };
+        let leader = self.leader().map(|leader| self.controller_process(leader));
+        let mut bytes = sample_self().memory_bytes;
+        for at in 0..self.processes.len() {
+            let sample = self.processes[at].sample();
+            bytes += sample.map_or(0, |sample| sample.memory_bytes);
+            let share = self.figures[at].take(now, sample);
+            match self.processes[at].role {
+                Role::Controller => second.controllers_cpu += share,
+                Role::StateService => second.state_cpu += share,
+                Role::HollowWorkers => second.workers_cpu += share,
+                Role::Load => {}
+            }
+            if leader == Some(at) {
+                second.leader_cpu = share;
+            }
+            if self.processes[at].has_ended() {
+                return Err(ScaleError::Process(format!("{} has ended by itself", self.processes[at].name)));
+            }
+        }
+        if bytes > self.memory_limit {
+            return Err(ScaleError::Refused(format!("the processes take {} MB", bytes / 1_000_000)));
+        }
+        if self.load_from != u64::MAX {
+            self.report.seconds.push(second);
+            self.show_progress(now);
+        }
+        Ok(())
+    }
+
+    fn show_progress(&mut self, now: u64) {
+        if now < self.progress + PROGRESS_MS {
+            return;
+        }
+        self.progress = now;
+        let lately = self.report.seconds.iter().rev().take(5);
+        let starts: u64 = lately.clone().map(|second| second.starts).sum();
+        let Some(second) = self.report.seconds.last() else { return };
+        println!(
+            "{:>4} s {:<14} {:>5.0} starts/s {:>6} on workers {:>7} waiting {:>5} workers  leader {:.2} controllers {:.2} workers {:.2} load {:.2} of a core, {} violations",
+            second.at_s,
+            self.phase_at(second.at_s * 1000).unwrap_or("after"),
+            starts as f64 / lately.len().max(1) as f64,
+            second.running,
+            second.waiting,
+            second.workers,
+            second.leader_cpu,
+            second.controllers_cpu,
+            second.workers_cpu,
+            second.load_cpu,
+            self.check.violations().len()
+        );
+    }
+
+    /// What counts over the load is taken at its end.
+    fn end_load(&mut self, load_end: u64) {
+        let seconds = load_end.saturating_sub(self.load_from) as f64 / 1000.0;
+        if seconds <= 0.0 {
+            return;
+        }
+        let since = |pick: fn(&ZoneNews) -> u64| -> f64 {
+            let moved = self.zones.iter().map(|zone| pick(&zone.news) - pick(&zone.before));
+            moved.sum::<u64>() as f64 / seconds
+        };
+        let workers = self.report.seconds.iter().map(|second| second.workers).max().unwrap_or(0);
+        let one = workers.max(1) as f64;
+        let (bytes_in, bytes_out) = (since(|news| news.bytes_in) / one, since(|news| news.bytes_out) / one);
+        let (reports, commands) = (since(|news| news.reports), since(|news| news.commands));
+        let figures = &mut self.report.workers;
+        figures.workers_peak = workers;
+        figures.bytes_in_per_s = bytes_in;
+        figures.bytes_out_per_s = bytes_out;
+        figures.reports_per_s = reports;
+        figures.commands_per_s = commands;
+        let hollow = || self.figures.iter().filter(|figures| figures.role == Role::HollowWorkers);
+        figures.cpu_share = hollow().map(|figures| figures.cpu_mean).sum::<f64>() / one;
+        figures.memory_mb = hollow().map(|figures| figures.memory_peak_mb).sum::<f64>() / one;
+        let (now, before) = (&self.state, &self.state_before);
+        let per_s = |now: u64, before: u64| (now - before) as f64 / seconds;
+        let state = &mut self.report.state;
+        state.requests_per_s = per_s(now.requests, before.requests);
+        state.changes_per_s = per_s(now.changes, before.changes);
+        state.bytes_in_per_s = per_s(now.bytes_in, before.bytes_in);
+        state.bytes_out_per_s = per_s(now.bytes_out, before.bytes_out);
+    }
+
+    fn phase_figures(&self) -> Vec<PhaseFigures> {
+        let mut begin_s = 0.0;
+        let mut phases = Vec::new();
+        for (name, phase) in &self.plan.phases {
+            let end_s = begin_s + phase.seconds;
+            let within = |second: &&Second| (begin_s..end_s).contains(&(second.at_s as f64));
+            let starts: u64 = self.report.seconds.iter().filter(within).map(|second| second.starts).sum();
+            phases.push(PhaseFigures {
+                name: name.clone(),
+                planned_starts_per_s: phase.starts_per_s,
+                starts_per_s: starts as f64 / phase.seconds,
+            });
+            begin_s = end_s;
+        }
+        phases
+    }
+
+    /// Ends everything and writes what was measured.
+    fn finish(&mut self, out: &Path) -> Result<(), ScaleError> {
+        self.processes.iter_mut().for_each(Managed::kill);
+        self.report.phases = self.phase_figures();
+        self.report.find_peak();
+        self.report.waits = self.waits.table();
+        self.report.acceptance = self.acceptance.wait();
+        self.report.user_retries = self.users.retries;
+        self.report.open_at_end = self.users.open();
+        self.report.unanswered_at_end = self.users.unanswered();
+        self.report.state.refused = self.state.refused;
+        self.report.state.keys = self.state.keys;
+        self.report.processes = self.figures.clone();
+        self.report.processes.push(self.own.clone());
+        self.report.events_judged = self.check.judged();
+        self.report.violations = self.check.violations().to_vec();
+        let json = serde_json::to_string_pretty(&self.report)
+            .map_err(|error| ScaleError::Json { what: "the report".into(), error })?;
+        write_file(&out.join("report.json"), &json)?;
+        write_file(&out.join("report.html"), &page::page(&self.report))?;
+        let table = self.report.table();
+        write_file(&out.join("report.txt"), &table)?;
+        print!("{table}");
+        for violation in self.report.violations.iter().take(5) {
+            println!("broken: {violation:?}");
+        }
+        Ok(())
+    }
+}
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -8,7 +8,9 @@
 mod describe;
 mod gangs;
 pub mod processes;
+mod reporting;
 
 pub use core::{Effect, Machine, Made, Phase, Piece, Worker};
 pub use describe::{Command, Description, DescriptionError, Descriptions, Work};
 pub use gangs::{GangTimes, coordinate};
+pub use reporting::{ReportAnswer, ReportTimes, Reporter};
