Refused offers rest longer after each refusal: dear offers are reached

Cause: one offer is tried a second and a refused one rested 15 s, so with 15 or more cheap offers without room (two types, six zones, spot) they were tried in turn for ever, and dear ones that had room never: the fleet stayed behind the work. Change: the rest doubles up to 120 s and begins anew once the cloud has given some (machines/refusals.rs).

--- a/src/coordination/leader/machines/fleet.rs
+++ b/src/coordination/leader/machines/fleet.rs
@@ -8,6 +8,7 @@
 use crate::bookkeeping::records::{BookingRecord, Key};
 use crate::coordination::budget::Budget;
 use crate::coordination::leader::machines::plan::{MachineSet, PAID_MS};
+use crate::coordination::leader::machines::refusals::Refusals;
 use crate::coordination::leader::{Leader, Life, Machine, Work};
 use crate::coordination::{AskId, Clock, Output};
 use crate::ids::{KindIx, MachineIx, Millis, Token, ZoneIx};
@@ -52,8 +53,8 @@
     counter: u32,
     asked: HashMap<AskId, (CloudRequest, Option<String>)>,
     next_ask: u64,
-    /// Offers that were refused, and until when they are not tried.
-    refused: HashMap<Offer, Millis>,
+    /// Offers that were refused and are not tried for a while.
+    refusals: Refusals,
     listing: bool,
     list_next: Millis,
     list_after: Option<String>,
@@ -66,8 +67,6 @@
     pub to_release: BTreeSet<MachineIx>,
 }
 
-/// Refused offers rest so long.
-const REFUSED_MS: u64 = 15_000;
 const LIST_EVERY_MS: u64 = 4_000;
 const CATALOG_EVERY_MS: u64 = 60_000;
 const PLAN_EVERY_MS: u64 = 1_000;
@@ -97,7 +96,7 @@
             counter: 0,
             asked: HashMap::new(),
             next_ask: FLEET_ASK,
-            refused: HashMap::new(),
+            refusals: Refusals::default(),
             listing: false,
             list_next: Millis::default(),
             list_after: None,
@@ -134,7 +133,7 @@
 
     /// Offers that rest after a refusal, and until when.
     pub fn resting_offers(&self, now: Millis) -> impl Iterator<Item = (Offer, Millis)> + '_ {
-        self.refused.iter().map(|(offer, until)| (*offer, *until)).filter(move |(_, until)| *until > now)
+        self.refusals.resting(now)
     }
 
     fn ask(&mut self, request: CloudRequest, booking: Option<String>, out: &mut Vec<Output>) {
@@ -342,7 +341,9 @@
                 let asked_at = booking.asked_at;
                 booking.stage = Stage::Rented { at: clock.now };
                 if (machines.len() as u32) < booking.count {
-                    self.fleet.refused.insert(offer, clock.now.plus(REFUSED_MS));
+                    self.fleet.refusals.exhausted(offer, clock.now);
+                } else {
+                    self.fleet.refusals.served(offer);
                 }
                 log::info!("rented {} for {name}", machines.join(" "));
                 for machine in &machines {
@@ -352,7 +353,7 @@
             }
             CloudReply::NoCapacity => {
                 self.fleet.bookings.remove(name);
-                self.fleet.refused.insert(offer, clock.now.plus(REFUSED_MS));
+                self.fleet.refusals.refused(offer, clock.now);
                 self.writer.other(Key::Booking(name.into()), None);
             }
             // The same name again: it gives the same machines, or is carried out now.
@@ -464,7 +465,7 @@
             for zone in kind.zones.iter().filter(|zone| here(**zone)) {
                 for spot in [false, true] {
                     let offer = Offer { kind: *kind_ix, zone: *zone, spot };
-                    let rests = self.fleet.refused.get(&offer).is_some_and(|until| clock.now < *until);
+                    let rests = self.fleet.refusals.rests(offer, clock.now);
                     if rests || !work.info.allows(*kind_ix, *zone, spot) {
                         continue;
                     }
--- a/src/coordination/leader/machines/mod.rs
+++ b/src/coordination/leader/machines/mod.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod orders;
 pub mod plan;
+pub mod refusals;
 pub mod reports;
 pub mod roster;
 pub mod silence;
