Plans: limits that change while troubles meet

Change: a kind of random plan in which operators set limits through all troubles, judged at every moment.

--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -360,6 +360,45 @@
     Plan { head, troubles: vec![(0, trouble)], users: Trouble::new(), tail }
 }
 
+/// Limits that change while troubles meet: the world judges each start against what was in force at that moment.
+fn limits(seed: u64) -> Plan {
+    const CHANGES: usize = 12;
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x11317);
+    let nodes = if seed % 3 == 0 { 5 } else { 3 };
+    let mut head =
+        lines(&["team core max=16", "team guest max=14", "kind small cpus=4 boot=3 count=8 zones=a,b"]);
+    head.push("config".into());
+    head.push(format!("nodes {}", zones(nodes)));
+    head.extend(lines(&[
+        "until 6 leader = any",
+        "submit 1 tasks=150 run=4",
+        "submit 2 tasks=60 run=9 team=guest",
+        "submit 3 gang tasks=3 cpus=2 run=15 checkpoint=4",
+        "advance 8",
+    ]));
+    let mut troubles = Vec::new();
+    let mut begin = 0;
+    for _ in 0..rng.random_range(2..4) {
+        let from_both = rng.random_range(0..5) > 0;
+        let trouble = if from_both { any_trouble(&mut rng, nodes) } else { quick_return(&mut rng, nodes) };
+        troubles.push((begin, trouble));
+        begin += rng.random_range(0..12_000);
+    }
+    let mut users = Trouble::new();
+    for change in 0..CHANGES {
+        let team = one_of(&mut rng, &["core", "guest"]);
+        let at = rng.random_range(0..begin + 20_000);
+        users.push((at, format!("set c{change} {team} limit={}", rng.random_range(1..14))));
+    }
+    users.push((rng.random_range(0..begin + 20_000), "abort 2".into()));
+    users.sort();
+    let mut tail = lines(&MENDED);
+    tail.extend((0..CHANGES).map(|change| format!("until 60 config over c{change}")));
+    tail.extend(lines(&["set last core", "until 10 config in-force last", "until 60 withdrawn 2"]));
+    tail.extend(lines(&["until 900 done 1", "until 300 done 3", "advance 40", "expect tasks <= 0"]));
+    Plan { head, troubles, users, tail }
+}
+
 fn number(name: &str) -> Option<u64> {
     std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok())
 }
@@ -397,6 +436,11 @@
     hold(seeds().map(|seed| (format!("seed {seed}"), meetings(seed))));
 }
 
+#[test]
+fn nothing_starts_above_a_limit_in_force_when_troubles_meet() {
+    hold(seeds().map(|seed| (format!("seed {seed}"), limits(seed))));
+}
+
 /// Each site and gap, and random ones beyond these.
 #[test]
 fn cancelled_tasks_are_gone_in_time_when_the_leader_is_blind() {
--- a/tests/world/config.rs
+++ b/tests/world/config.rs
@@ -207,6 +207,11 @@
                 let so = |sent: &&Sent| sent.status.is_some_and(|found| found.to_string() == *status);
                 self.changes_of_config.sent.values().filter(so).count().to_string() == *count
             }
+            // In force, or refused for good.
+            ["over", name] => {
+                let sent = sent(name);
+                sent.in_force_at.is_some() || sent.status.is_some_and(|status| status != 200)
+            }
             ["in-force", name] => sent(name).in_force_at.is_some(),
             // Milliseconds from the wish to the answer that it is in force.
             ["took", name, "<=", most] => {
