--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -16,6 +16,7 @@
   latch explain job-000412                   why it is where it is
   latch list --state live --json
   latch graph submit examples/billing.hcl --wait
+  latch config set team/default --limit-cpus 8 --wait
   latch scale run examples/scale/small.hcl --out /tmp/small
 
 Exit codes:
@@ -95,6 +96,9 @@
     /// Runs of graphs: submit, show, list, cancel, retry, clear
     #[command(subcommand)]
     Graph(Graph),
+    /// Limits and guarantees of teams, changed while the service runs
+    #[command(subcommand)]
+    Config(Config),
     /// Check job files, and whether the context's controllers answer; nothing is sent to run
     Check { files: Vec<PathBuf> },
     /// Print completions for a shell
@@ -173,6 +177,70 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum Config {
+    /// Every team: what is set, what holds, whether it is in force
+    List,
+    /// One entry, like team/NAME
+    Get { entry: String },
+    /// Change an entry; never above what the platform's settings allow
+    Set {
+        entry: String,
+        /// CPUs that the team may use at most
+        #[arg(long, value_name = "CPUS")]
+        limit_cpus: Option<f64>,
+        /// CPUs that the team is guaranteed
+        #[arg(long, value_name = "CPUS")]
+        guaranteed_cpus: Option<f64>,
+        /// Refuse the change unless the entry is at this version (0: not set)
+        #[arg(long, value_name = "VERSION")]
+        expected: Option<u64>,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// Take an entry back: the platform's settings hold
+    Unset {
+        entry: String,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// Show what a file would change
+    Diff {
+        file: PathBuf,
+        /// In this context; may be repeated
+        #[arg(long = "to", value_name = "CONTEXT")]
+        to: Vec<String>,
+    },
+    /// Lay a file down: what it does not name is left as it is
+    Apply {
+        file: PathBuf,
+        /// In this context; may be repeated. Each region's outcome is its own
+        #[arg(long = "to", value_name = "CONTEXT")]
+        to: Vec<String>,
+        /// Only show what would change
+        #[arg(long)]
+        dry_run: bool,
+        #[command(flatten)]
+        change: Change,
+    },
+}
+
+/// Who changes, why, and whether to wait.
+#[derive(Debug, Clone, Default, Args)]
+pub struct Change {
+    /// Wait until it is in force; exit code 6 if it is not within --within, with whom it waits for
+    #[arg(long)]
+    pub wait: bool,
+    #[arg(long, value_name = "SECONDS", default_value_t = 3.0)]
+    pub within: f64,
+    /// Who changes it; the variable USER if not given
+    #[arg(long)]
+    pub by: Option<String>,
+    /// The reason, kept with the entry
+    #[arg(long)]
+    pub why: Option<String>,
+}
+
 #[derive(Debug, Subcommand)]
 pub enum Scale {
     /// Play a plan; exit code 1 if a rule was broken
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -61,6 +61,7 @@
         Command::Completions { .. }
         | Command::Up(_)
         | Command::Demo(_)
+        | Command::Config(_)
         | Command::Scale(_)
         | Command::Controller(_) => {}
     }
@@ -76,6 +77,11 @@
 }
 
 fn connect(common: &Common) -> Result<Client, Failure> {
+    connect_to(common, None)
+}
+
+/// The controllers of a context: the named one, else the one that the flags choose.
+pub fn connect_to(common: &Common, context: Option<&str>) -> Result<Client, Failure> {
     if !(0.1..=3600.0).contains(&common.deadline) {
         return Err(Failure::Usage(format!(
             "--deadline: expected 0.1 to 3600 seconds, not {}",
@@ -85,7 +91,7 @@
     let none = "no contexts file: start a region with `latch up`, or name one with --contexts";
     let path = contexts_path(common).ok_or_else(|| Failure::Usage(none.into()))?;
     let contexts = Contexts::load(&path)?;
-    let context = contexts.pick(&path.display().to_string(), common.context.as_deref())?;
+    let context = contexts.pick(&path.display().to_string(), context.or(common.context.as_deref()))?;
     Ok(Client::new(context, Duration::from_secs_f64(common.deadline)))
 }
 
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use olivelatch_client::{ClientError, ContextsError, JobFileError};
+use olivelatch_client::{ClientError, ConfigFileError, ContextsError, JobFileError};
 use olivelatch_flow::FlowFileError;
 use olivelatch_region::RegionError;
 use olivelatch_scale::ScaleError;
@@ -23,13 +23,15 @@
     Usage(String),
     Client(ClientError),
     Region(RegionError),
+    /// The request is wrong, or meets a conflict.
+    Refused(String),
     Other(String),
 }
 
 impl std::fmt::Display for Failure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Failure::Usage(text) | Failure::Other(text) => f.write_str(text),
+            Failure::Usage(text) | Failure::Refused(text) | Failure::Other(text) => f.write_str(text),
             Failure::Client(error) => error.fmt(f),
             Failure::Region(error) => error.fmt(f),
         }
@@ -43,7 +45,7 @@
             Failure::Client(ClientError::NoAnswer { .. }) => NO_ANSWER,
             Failure::Client(ClientError::Refused { status: 404, .. }) => OTHER,
             Failure::Client(ClientError::Refused { status: 503, .. }) => NO_ANSWER,
-            Failure::Client(ClientError::Refused { .. }) => REFUSED,
+            Failure::Client(ClientError::Refused { .. }) | Failure::Refused(_) => REFUSED,
             Failure::Client(_) | Failure::Region(_) | Failure::Other(_) => OTHER,
         })
     }
@@ -73,6 +75,12 @@
     }
 }
 
+impl From<ConfigFileError> for Failure {
+    fn from(error: ConfigFileError) -> Failure {
+        Failure::Usage(error.to_string())
+    }
+}
+
 impl From<FlowFileError> for Failure {
     fn from(error: FlowFileError) -> Failure {
         Failure::Usage(error.to_string())
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,8 @@
 
 mod args;
 mod commands;
+mod config;
+mod config_tables;
 mod demo;
 mod exit;
 mod graphs;
@@ -27,6 +29,7 @@
         }
         Command::Up(args) => up::up(&args).map(|()| ExitCode::SUCCESS),
         Command::Scale(args) => scale::run(args),
+        Command::Config(command) => config::run(&cli.common, &command),
         Command::Demo(args) => demo::demo(&args).map(|()| ExitCode::SUCCESS),
         Command::Completions { shell } => {
             args::completions(shell);
--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -22,6 +22,10 @@
 graphs {
   enabled = true
 }
+
+config {
+  enabled = true
+}
 ";
 
 fn usage(text: String) -> Failure {
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -37,6 +37,11 @@
         self.until("a leader", |region| !region.leaders().is_empty());
     }
 
+    /// The region's own process.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Hard, as when the machine loses power: nothing of it is cleaned up.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// The next request goes to another controller first.
+    pub(crate) fn ask_another_first(&mut self) {
+        self.first = (self.first + 1) % self.context.controllers.len().max(1);
+    }
+
     pub(crate) fn get<T: DeserializeOwned>(&mut self, path: &str) -> Result<T, ClientError> {
         Ok(serde_json::from_slice(&self.ask("GET", path, b"")?)?)
     }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -5,12 +5,14 @@
 //! repeated submission is the same submission. `JobFile` and `Contexts` read what people write. docs/client.md argues for it.
 
 mod client;
+mod config;
 mod contexts;
 mod graphs;
 mod jobs;
 mod tries;
 
 pub use client::{Client, ClientError, Described, Submitted};
+pub use config::{Author, ConfigFile, ConfigFileError, Difference};
 pub use contexts::{Context, Contexts, ContextsError};
 pub use jobs::{JobEntry, JobFile, JobFileError, Prepared, new_id};
 pub use tries::{Next, Outcome, Tries};
--- /dev/null
+++ b/crates/client/tests/config_files.rs
@@ -0,0 +1,41 @@
+//! Files of configuration: what is wrong is named with its place, what would change is found.
+
+use olivelatch::protocol::config::{EntryList, EntryView, TeamValue};
+use olivelatch_client::ConfigFile;
+
+fn entry(name: &str, limit_cpus: Option<f64>) -> EntryView {
+    EntryView {
+        entry: name.into(),
+        version: 3,
+        value: TeamValue { limit_cpus, guaranteed_cpus: None },
+        platform: TeamValue::default(),
+        holds: TeamValue::default(),
+        by: None,
+        why: None,
+        at_ms: None,
+        in_force: true,
+        waits_for: None,
+        used_cpus: 0.0,
+        above_cpus: 0.0,
+    }
+}
+
+#[test]
+fn only_what_differs_is_changed() {
+    let team = |name: &str, limit: u32| format!("team \"{name}\" {{\n  limit_cpus = {limit}\n}}\n");
+    let text = [team("a", 4), team("b", 5), team("c", 6)].concat();
+    let file = ConfigFile::parse("f.hcl", &text).expect("a file");
+    let entries = vec![entry("team/a", Some(4.0)), entry("team/b", None), entry("team/d", Some(1.0))];
+    let list = EntryList { node: "n".into(), revision: 9, entries };
+    let names: Vec<(String, bool)> =
+        file.differences(&list).into_iter().map(|one| (one.entry, one.now.is_some())).collect();
+    assert_eq!(names, [("team/b".to_string(), true), ("team/c".to_string(), false)]);
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let wrong = |text: &str| ConfigFile::parse("f.hcl", text).expect_err("wrong").to_string();
+    let unknown = wrong("team \"a\" {\n  limit = 4\n}\n");
+    assert!(unknown.starts_with("f.hcl: line 2: "), "{unknown}");
+    assert_eq!(wrong("team \"a\" {\n}\n"), "f.hcl: team a: expected limit_cpus, guaranteed_cpus or both");
+}
--- a/crates/scale/src/check.rs
+++ b/crates/scale/src/check.rs
@@ -183,9 +183,10 @@
         self.on.len()
     }
 
-    /// CPUs that a team uses, by what the workers saw.
-    pub fn used(&self, team: usize) -> f64 {
-        self.used.get(team).copied().unwrap_or(0.0)
+    /// CPUs that a team has left under its limit, by what the workers saw.
+    pub fn room(&self, team: usize) -> f64 {
+        let used = self.used.get(team).copied().unwrap_or(0.0);
+        self.limits.get(team).map_or(0.0, |limit| limit - used)
     }
 
     pub fn violations(&self) -> &[Violation] {
--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -15,6 +15,9 @@
 /// The rate at the peak is the best mean over so many seconds.
 const PEAK_SECONDS: usize = 10;
 
+/// Urgent work starts within this, by the operators' word.
+pub const URGENT_AIM_MS: u64 = 8_900;
+
 /// A distribution of times, in seconds.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Wait {
@@ -200,7 +203,11 @@
     pub workers: WorkerFigures,
     pub state: StateSummary,
     pub leads: Vec<Lead>,
-    pub changes: Option<ChangeFigures>,
+    /// By series of the plan.
+    pub changes: BTreeMap<String, ChangeFigures>,
+    /// Tasks of urgent classes that waited longer than `URGENT_AIM_MS`, and how many of them by their team's own limit.
+    pub urgent_late: u64,
+    pub urgent_late_at_limit: u64,
     pub processes: Vec<ProcessFigures>,
     pub events_judged: u64,
     pub violations: Vec<Violation>,
@@ -212,6 +219,8 @@
 pub struct ChangeFigures {
     pub asked: u64,
     pub failed: u64,
+    /// What the first refusal said.
+    pub first_failure: Option<String>,
     pub set: Wait,
     pub in_force: Wait,
     /// Longer than three seconds.
@@ -337,10 +346,17 @@
                 seconds(lead.first_start_s)
             )?;
         }
-        if let Some(changes) = &self.changes {
+        writeln!(
+            text,
+            "urgent tasks later than {:.1} s: {}, of these {} with their team at its limit when they started",
+            URGENT_AIM_MS as f64 / 1000.0,
+            self.urgent_late,
+            self.urgent_late_at_limit
+        )?;
+        for (name, changes) in &self.changes {
             writeln!(
                 text,
-                "configuration: {} changes, {} failed; set p50 {:.3} p99 {:.3} max {:.2} s; in force p50 {:.3} p99 {:.3} max {:.2} s, {} later than 3 s",
+                "configuration, {name}: {} changes, {} failed; set p50 {:.3} p99 {:.3} max {:.2} s; in force p50 {:.3} p99 {:.3} max {:.2} s, {} later than 3 s",
                 changes.asked,
                 changes.failed,
                 changes.set.p50_s,
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,6 +7,7 @@
 //! start where the machine is too small. docs/scale.md is the operators' page.
 
 mod arrivals;
+mod changes;
 mod check;
 mod cloud;
 mod control;
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -121,6 +121,9 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChangesPlan {
+    /// When they begin and end, in seconds from the begin of the load.
+    pub from_s: f64,
+    pub to_s: f64,
     /// Seconds between two changes, or between two bursts.
     pub every_s: f64,
     /// Changes made at once.
@@ -153,8 +156,8 @@
     pub jobs: IndexMap<String, JobPlan>,
     #[serde(rename = "fault", default)]
     pub faults: IndexMap<String, FaultKind>,
-    #[serde(default)]
-    pub changes: Option<ChangesPlan>,
+    #[serde(rename = "change", default)]
+    pub changes: IndexMap<String, ChangesPlan>,
     #[serde(default)]
     pub defect: Option<Defect>,
 }
@@ -233,9 +236,10 @@
                 });
             }
         }
-        if let Some(changes) = &self.changes {
-            within("changes: every_s", changes.every_s, 0.1, 86_400.0)?;
-            within("changes: burst", changes.burst as f64, 1.0, 1000.0)?;
+        for (name, changes) in &self.changes {
+            within(&format!("change {name}: every_s"), changes.every_s, 0.1, 86_400.0)?;
+            within(&format!("change {name}: burst"), changes.burst as f64, 1.0, 1000.0)?;
+            within(&format!("change {name}: to_s"), changes.to_s, changes.from_s, self.load_s())?;
         }
         Ok(())
     }
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use olivelatch::protocol::users::Urgency;
 use olivelatch_net::caller::{Caller, Slot};
 use olivelatch_net::http::Response;
 use olivelatch_net::poll::{Gate, Keys};
@@ -17,11 +18,12 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 
 use crate::arrivals::Arrivals;
+use crate::changes::Changes;
 use crate::check::{Cancelled, Check, JobFacts};
 use crate::cloud::RunCloud;
 use crate::control::{StateFigures, TaskEvent, TaskEventKind, ZoneCommand, ZoneNews};
 use crate::error::{ScaleError, io_error};
-use crate::figures::{Lead, PhaseFigures, ProcessFigures, Report, Second, Times, Waits};
+use crate::figures::{Lead, PhaseFigures, ProcessFigures, Report, Second, Times, URGENT_AIM_MS, Waits};
 use crate::hollow::{RunClock, ZoneArguments, unix_ms};
 use crate::page;
 use crate::plan::{FaultKind, Plan};
@@ -52,6 +54,8 @@
 const CONTROL_PATIENCE_MS: u64 = 10_000;
 /// Jobs are told to the workers so long before they are submitted.
 const DESCRIBE_AHEAD_MS: u64 = 2_000;
+/// A team with less room than this under its limit is at it.
+const AT_LIMIT_CPUS: f64 = 20.0;
 /// A submission that goes out later than planned by more than this is the load side's delay.
 const LATE_MS: u64 = 250;
 const START_PATIENCE_MS: u64 = 30_000;
@@ -60,12 +64,15 @@
 const WORKER_BYTES: u64 = 200_000;
 const CONTROLLER_BYTES: u64 = 120_000_000;
 const REST_BYTES: u64 = 500_000_000;
+/// The file with the controllers' tunables, in the run's folder.
+const TUNABLES: &str = "tunables.hcl";
 /// Files a process needs beside its connections.
 const SPARE_FILES: u64 = 500;
 
-/// Slots of the run's calls: zones, the state service, then users.
+/// Slots of the run's calls: zones, the state service, changes of configuration, users.
 const STATE_SLOT: usize = 1_000;
-const FIRST_USER: usize = 10_000;
+const FIRST_CHANGE: usize = 10_000;
+const FIRST_USER: usize = 1_000_000;
 
 /// How the run talks to one process of hollow workers.
 #[derive(Default)]
@@ -116,6 +123,7 @@
     check: Check,
     /// Events that wait until those of all zones up to their time are there.
     events: Vec<TaskEvent>,
+    changes: Changes,
     waits: Waits,
     acceptance: Times,
     strikes: Vec<(u64, Strike)>,
@@ -253,9 +261,8 @@
     fn controller(&self, at: usize, addresses: &Addresses) -> Result<Managed, ScaleError> {
         let name = controller_name(at);
         let out = &self.arguments.out;
-        let (settings, tunables) = (out.join(format!("{name}.json")), out.join("tunables.hcl"));
+        let (settings, tunables) = (out.join(format!("{name}.json")), out.join(TUNABLES));
         write_file(&settings, &controller_settings(addresses, at, &self.plan.platform()).to_string())?;
-        write_file(&tunables, &self.plan.tunables)?;
         let arguments = ["controller", "serve", "--tunables"].map(String::from).into_iter();
         let files = [tunables.display().to_string(), "--config".into(), settings.display().to_string()];
         let arguments = arguments.chain(files).collect();
@@ -291,6 +298,8 @@
         for (at, control) in zone_controls.iter().enumerate() {
             processes.push(starter.zone(at, *control, controllers)?);
         }
+        // Written once, before any controller reads it.
+        write_file(&arguments.out.join(TUNABLES), &plan.tunables)?;
         for at in 0..count {
             processes.push(starter.controller(at, &addresses)?);
         }
@@ -318,6 +327,7 @@
             by_job: HashMap::new(),
             check: Check::new(limits),
             events: Vec::new(),
+            changes: Changes::new(&plan.changes, plan.team_plans(), plan.seed),
             waits: Waits::default(),
             acceptance: Times::default(),
             strikes: Vec::new(),
@@ -354,7 +364,7 @@
         self.until(load_end, |_| false)?;
         self.end_load(load_end);
         let drained = load_end + (self.plan.drain_s * 1000.0) as u64;
-        self.until(drained, |run| run.users.open() == 0)?;
+        self.until(drained, |run| run.users.open() == 0 && run.changes.open() == 0)?;
         self.users.ask_all(self.clock.now());
         let asked = self.clock.now() + LAST_QUESTIONS_MS;
         self.until(asked, |run| run.users.unanswered() == 0)?;
@@ -414,6 +424,11 @@
         match slot.0 {
             zone if zone < self.zones.len() => self.zone_answered(zone, response),
             STATE_SLOT => self.state_answered(response),
+            change if change < FIRST_USER => {
+                self.caller.hang_up(slot);
+                self.changes.answered(change - FIRST_CHANGE, response, self.clock.now());
+                Ok(())
+            }
             user => {
                 self.caller.hang_up(slot);
                 self.user_answered(user - FIRST_USER, response);
@@ -437,6 +452,7 @@
         self.strike(now)?;
         self.arrive(now);
         self.call_users(now);
+        self.call_operators(now);
         for zone in 0..self.zones.len() {
             self.call_zone(zone, now)?;
         }
@@ -589,6 +605,21 @@
         }
     }
 
+    /// Changes of configuration; each is asked of a controller in turn.
+    fn call_operators(&mut self, now: u64) {
+        if self.load_from == u64::MAX {
+            return;
+        }
+        for call in self.changes.due(now, now.saturating_sub(self.load_from)) {
+            let address = self.controllers[call.controller % self.controllers.len()];
+            let slot = Slot(FIRST_CHANGE + call.change);
+            let request = (call.method, call.path.as_str(), call.body.as_slice());
+            if !self.caller.call(&mut self.keys, slot, address, request, call.until_ms) {
+                self.changes.answered(call.change, None, now);
+            }
+        }
+    }
+
     fn user_answered(&mut self, at: usize, response: Option<&Response>) {
         let now = self.clock.now();
         let outcome = self.users.answered(at, response, now);
@@ -656,6 +687,12 @@
         let wait_ms = event.at_ms.saturating_sub(self.load_from + arrival.at_ms);
         if self.waits.first_start(&event.task, &arrival.class, &phase, wait_ms) {
             self.waiting -= 1;
+            let urgent = self.plan.jobs.get(&arrival.class).is_some_and(|job| job.urgency <= Urgency::High);
+            if urgent && wait_ms > URGENT_AIM_MS {
+                let team = arrival.team;
+                self.report.urgent_late += 1;
+                self.report.urgent_late_at_limit += u64::from(self.check.room(team) < AT_LIMIT_CPUS);
+            }
         }
     }
 
@@ -856,6 +893,7 @@
         self.report.find_peak();
         self.report.waits = self.waits.table();
         self.report.acceptance = self.acceptance.wait();
+        self.report.changes = self.changes.figures();
         self.report.user_retries = self.users.retries;
         self.report.open_at_end = self.users.open();
         self.report.unanswered_at_end = self.users.unanswered();
--- a/examples/scale/half.hcl
+++ b/examples/scale/half.hcl
@@ -54,6 +54,10 @@
 
 tunables = <<EOT
 idle_s = 900
+
+config {
+  enabled = true
+}
 EOT
 
 settle_s = 20
@@ -129,3 +133,33 @@
   at_s   = 190
   back_s = 6
 }
+
+# Changes of configuration: the year's rate, one a second, and bursts of twenty; the last ones while the leader ends.
+
+change "one every 33 s" {
+  from_s  = 5
+  to_s    = 180
+  every_s = 33
+  burst   = 1
+}
+
+change "one a second" {
+  from_s  = 20
+  to_s    = 100
+  every_s = 1
+  burst   = 1
+}
+
+change "bursts of 20" {
+  from_s  = 105
+  to_s    = 175
+  every_s = 10
+  burst   = 20
+}
+
+change "while the leader ends" {
+  from_s  = 186
+  to_s    = 206
+  every_s = 1
+  burst   = 1
+}
--- a/examples/scale/small.hcl
+++ b/examples/scale/small.hcl
@@ -54,6 +54,10 @@
 
 tunables = <<EOT
 idle_s = 120
+
+config {
+  enabled = true
+}
 EOT
 
 settle_s = 3
@@ -114,3 +118,10 @@
   at_s   = 15
   back_s = 3
 }
+
+change "one a second" {
+  from_s  = 2
+  to_s    = 28
+  every_s = 1
+  burst   = 1
+}
--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -79,6 +79,11 @@
         !self.waiting.is_empty() || self.watchers.iter().any(|watcher| watcher.version > mirror.revision)
     }
 
+    /// Requests that wait for something.
+    pub fn held(&self) -> usize {
+        self.waiting.len() + self.watchers.len() + usize::from(self.writing.is_some())
+    }
+
     /// Changes wait for the state service to take them: polls must leave them a request.
     pub fn writes_wait(&self) -> bool {
         self.waiting.iter().any(|waiting| matches!(waiting.request, ConfigRequest::Set { .. }))
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -135,7 +135,8 @@
     pub fn quiet(&self) -> bool {
         let leads = self.leader.is_some() || self.taking_over.is_some();
         let follows = !leads && self.ledger.loaded && self.mirror.leader.is_some();
-        follows && self.users.held() + self.graph_desk.held() == 0 && self.now >= self.peers.favoured_until
+        let held = self.users.held() + self.graph_desk.held() + self.config_desk.held();
+        follows && held == 0 && self.now >= self.peers.favoured_until
     }
 
     /// What only a leader has.
