Tests that stood in sources move to files; records of one node, and names by the field's terms

Change: each test module is a file in a tests folder beside its source, word for word; node/records.rs has what the state service answers; misdirected workers, Notify, TaskAttempt, attempts, sequence. No other change.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -391,11 +391,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_definition_is_sound() {
-        Cli::command().debug_assert();
-    }
-}
+#[path = "tests/args.rs"]
+mod tests;
--- /dev/null
+++ b/crates/client/src/tests/jobs.rs
@@ -0,0 +1,47 @@
+//! Tests of `jobs`.
+
+use super::*;
+
+#[test]
+fn files_of_both_forms_say_the_same() {
+    let hcl = "job \"a\" {\n  tasks = 3\n  command = [\"echo\", \"hi\"]\n  env = { X = \"1\" }\n}\n";
+    let json = r#"{"job": {"a": {"tasks": 3, "command": ["echo", "hi"], "env": {"X": "1"}}}}"#;
+    let read = |text, json| JobFile::parse("f", text, json).expect("a file").jobs;
+    assert_eq!(read(hcl, false), read(json, true));
+    let prepared = JobFile::parse("f", hcl, false).expect("a file").prepare().expect("jobs");
+    assert_eq!(prepared[0].spec["pieces"], 3);
+    assert_eq!(prepared[0].description.as_ref().map(|d| d["run"]["env"]["X"].clone()), Some(json!("1")));
+}
+
+#[test]
+fn the_examples_are_good() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    // Graph files are another form: olivelatch-flow checks them. Plans of scale runs have a folder and a check of their own.
+    let graph = |path: &Path| std::fs::read_to_string(path).is_ok_and(|text| text.contains("\ngraph "));
+    let files = std::fs::read_dir(folder).expect("the examples").flatten();
+    let files = files.filter(|file| file.path().is_file() && !graph(&file.path()));
+    let checked =
+        files.map(|file| JobFile::load(&file.path()).and_then(|f| f.prepare()).expect("a good file").len());
+    assert!(checked.sum::<usize>() > 0);
+}
+
+/// Each mistake is named with its place and what was expected, before anything is sent.
+#[test]
+fn mistakes_are_named() {
+    let problem = |text: &str| {
+        let file = JobFile::parse("f.hcl", text, false);
+        file.and_then(|file| file.prepare().map(drop)).expect_err("a problem").to_string()
+    };
+    assert!(problem("job \"a\" {\n  task = 3\n}\n").contains("line 2"));
+    assert!(problem("job \"a\" {\n  shape = \"ring\"\n}\n").contains("expected array, gang or service"));
+    assert!(problem("job \"a\" {\n  tasks = 0\n}\n").contains("job \"a\": pieces must be 1"));
+    assert!(problem("job \"a\" {\n  id = \"a\"\n}\n").contains("job-000412"));
+    assert!(problem("").contains("no jobs"));
+}
+
+#[test]
+fn ids_are_new_and_of_the_protocols_form() {
+    let ids: std::collections::BTreeSet<String> = (0..1000).map(new_id).collect();
+    assert_eq!(ids.len(), 1000);
+    assert!(ids.iter().all(|id| olivelatch::ids::JobId::parse(id).is_some()));
+}
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -12,7 +12,7 @@
 use olivelatch_net::server::{Conn, HttpServer, Incoming, Port};
 use olivelatch_region::controller_place;
 use olivelatch_worker::{
-    Descriptions, GangTimes, Phase, Piece, ReportAnswer, ReportTimes, Reporter, Worker, coordinate,
+    Descriptions, GangTimes, Phase, TaskAttempt, ReportAnswer, ReportTimes, Reporter, Worker, coordinate,
 };
 use polling::Events;
 use rand::rngs::StdRng;
@@ -387,12 +387,12 @@
 
     fn observe(&mut self, worker: &Worker, now: u64, events: &mut Vec<TaskEvent>) {
         let name = &worker.machine.name;
-        for piece in worker.pieces.iter().filter(|piece| piece.on) {
-            self.observe_piece(name, piece, now, events);
+        for piece in worker.attempts.iter().filter(|piece| piece.on) {
+            self.observe_attempt(name, piece, now, events);
         }
         // What was killed with its session, or reaped, is not in the list any more.
         self.observed.retain(|key, observed| {
-            let there = worker.pieces.iter().any(|piece| piece.attempt == key.1 && piece.task == key.0);
+            let there = worker.attempts.iter().any(|piece| piece.attempt == key.1 && piece.task == key.0);
             if !there && *observed != Observed::Off {
                 events.push(told(now, name, key, TaskEventKind::Off));
             }
@@ -400,7 +400,7 @@
         });
     }
 
-    fn observe_piece(&mut self, worker: &str, piece: &Piece, now: u64, events: &mut Vec<TaskEvent>) {
+    fn observe_attempt(&mut self, worker: &str, piece: &TaskAttempt, now: u64, events: &mut Vec<TaskEvent>) {
         let key = (piece.task.clone(), piece.attempt);
         let before = self.observed.get(&key).copied();
         let after = match piece.phase {
--- a/crates/worker/src/describe.rs
+++ b/crates/worker/src/describe.rs
@@ -64,7 +64,8 @@
 #[derive(Deserialize)]
 struct Upload {
     shape: String,
-    pieces: u32,
+    #[serde(rename = "pieces")]
+    tasks: u32,
     vcpus: f64,
     #[serde(default)]
     accelerators: f64,
@@ -102,7 +103,7 @@
             image: upload.bundle,
             size_gb: amount("size_gb", upload.size_gb)?,
             gang: upload.shape == "gang",
-            tasks: upload.pieces,
+            tasks: upload.tasks,
             checkpoint: amount("snapshot_s", upload.snapshot_s)? > 0.0,
             save_ms: (amount("flush_s", upload.flush_s)? * 1000.0) as u64,
             work: Work::Runs(run.ok_or(DescriptionError::NoCommand)?),
--- a/crates/worker/src/gangs.rs
+++ b/crates/worker/src/gangs.rs
@@ -32,7 +32,7 @@
 fn members(workers: &[Worker], jobs: &Descriptions) -> BTreeMap<(String, u64), Members> {
     let mut gangs: BTreeMap<(String, u64), Members> = BTreeMap::new();
     for (at, worker) in workers.iter().enumerate() {
-        for (place, piece) in worker.pieces.iter().enumerate() {
+        for (place, piece) in worker.attempts.iter().enumerate() {
             if !jobs.get(piece.job()).is_some_and(|job| job.gang) {
                 continue;
             }
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod processes;
 mod reporting;
 
-pub use core::{Effect, Machine, Made, Phase, Piece, Worker};
+pub use core::{Effect, Machine, Made, Phase, TaskAttempt, Worker};
 pub use describe::{Command, Description, DescriptionError, Descriptions, Work};
 pub use gangs::{GangTimes, coordinate};
 pub use reporting::{ReportAnswer, ReportTimes, Reporter};
--- /dev/null
+++ b/src/bookkeeping/tests/flow.rs
@@ -0,0 +1,56 @@
+//! Tests of `flow`.
+
+use super::*;
+
+fn part(nodes: &[(&str, u64, Option<u32>)], edges: &[(u32, u32, u32)]) -> GraphPart {
+    let spec = serde_json::json!({"uid": "", "jobclass": "c", "owner": "o", "shape": "array", "urgency": "low",
+            "pieces": 1, "vcpus": 1.0, "accelerators": 0.0, "memory_gb": 1.0, "bundle": "b", "size_gb": 0.0,
+            "together": false, "scatter": false, "loaners": false, "guess_s": 2.0, "snapshot_s": 0.0, "flush_s": 0.0});
+    let template = serde_json::from_value(serde_json::json!({ "spec": spec })).expect("a template");
+    let row = |(name, job, map): &(&str, u64, Option<u32>)| NodeRow {
+        name: (*name).into(),
+        job: *job,
+        template: 0,
+        map: *map,
+    };
+    let nodes = nodes.iter().map(row).collect();
+    GraphPart { templates: vec![template], nodes, edges: edges.to_vec(), redo: Vec::new() }
+}
+
+fn problem(nodes: &[(&str, u64, Option<u32>)], edges: &[(u32, u32, u32)]) -> String {
+    Flow::build([part(nodes, edges)].iter()).map(|_| ()).expect_err("a problem")
+}
+
+#[test]
+fn mistakes_are_named() {
+    let abc = [("a", 1, None), ("b", 2, None), ("c", 3, None)];
+    let circle = problem(&abc, &[(1, 0, 1), (2, 1, 1), (0, 2, 1)]);
+    assert!(circle.contains("circle: ") && circle.matches(" -> ").count() == 3, "{circle}");
+    assert!(problem(&[("a", 1, None), ("a", 2, None)], &[]).contains("two nodes are called a"));
+    assert!(problem(&[("a", 1, None), ("b", 1, None)], &[]).contains("another node has the job"));
+    assert!(problem(&[("a b", 1, None)], &[]).contains("without spaces"));
+    assert!(
+        problem(&abc, &[(2, 1, 2)]).contains("not all there")
+            || problem(&abc, &[(2, 1, 2)]).contains("circle")
+    );
+    assert!(problem(&abc, &[(2, 0, 9)]).contains("not all there"));
+    assert!(problem(&abc, &[(2, 0, 1), (2, 0, 2)]).contains("c comes after a twice"));
+    assert!(problem(&[("a", 1, None), ("b", 2, Some(0))], &[]).contains("does not come after"));
+    assert!(problem(&[("a", 1_000_000_000_000_000_000, None)], &[]).contains("no number of a job"));
+}
+
+/// What is done over takes all behind it along: half of a chain anew would mix two versions.
+#[test]
+fn doing_over_takes_all_behind_along() {
+    let flow = Flow::build(
+        [part(&[("a", 1, None), ("b", 2, None), ("c", 3, None)], &[(1, 0, 1), (2, 1, 1)])].iter(),
+    );
+    let flow = flow.expect("a graph");
+    assert_eq!(flow.ahead_ms, [4000, 2000, 0]);
+    let new = flow.redone(&[(1, 2, 50)]).expect("two nodes");
+    assert_eq!(new.values().copied().collect::<Vec<_>>(), [JobId(50), JobId(51)]);
+    assert!(flow.redone(&[(1, 1, 50)]).expect_err("c is missing").contains("c comes after"));
+    for wrong in [&[(1, 9, 50)][..], &[], &[(1, 2, 50), (2, 1, 60)], &[(1, 1, 50), (2, 1, 50)]] {
+        assert!(flow.redone(wrong).is_err(), "{wrong:?}");
+    }
+}
--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -273,7 +273,7 @@
             return;
         }
         self.ask_next = ground.clock.now.plus(ASK_AGAIN_MS);
-        let message = MeshMessage::Poke { revision: newest.0 };
+        let message = MeshMessage::Notify { revision: newest.0 };
         out.push(Output::Mesh { node: leader.node.clone(), message });
     }
 
--- a/src/coordination/leader/machines/reports.rs
+++ b/src/coordination/leader/machines/reports.rs
@@ -210,7 +210,7 @@
             }
             (None, TaskState::Exited(_)) => {}
             // Nothing of ours: it stops, and counts as being there until it is gone.
-            (None, state) => self.stray(ix, piece, state),
+            (None, state) => self.unknown_task(ix, piece, state),
         }
     }
 
@@ -226,7 +226,7 @@
         kind.fetch_mb_per_s += (seen - kind.fetch_mb_per_s) * FETCH_WEIGHT;
     }
 
-    fn stray(&mut self, ix: MachineIx, piece: &Piece, state: TaskState) {
+    fn unknown_task(&mut self, ix: MachineIx, piece: &Piece, state: TaskState) {
         log::info!("stray {} on {}", piece.task, self.machines[ix.at()].name);
         let binding = Binding {
             task: piece.task,
--- a/src/coordination/node/config.rs
+++ b/src/coordination/node/config.rs
@@ -52,7 +52,7 @@
         if self.leader.is_none()
             && let Some(leader) = &self.mirror.leader
         {
-            let message = MeshMessage::Poke { revision: revision.0 };
+            let message = MeshMessage::Notify { revision: revision.0 };
             out.push(Output::Mesh { node: leader.node.clone(), message });
         }
     }
--- a/src/coordination/node/watermarks.rs
+++ b/src/coordination/node/watermarks.rs
@@ -32,8 +32,8 @@
             if self.mirror.revision < revision {
                 self.ledger.look_now();
             }
-            let poke = MeshMessage::Poke { revision: revision.0 };
-            out.extend(nodes.into_iter().map(|node| Output::Mesh { node, message: poke.clone() }));
+            let notify = MeshMessage::Notify { revision: revision.0 };
+            out.extend(nodes.into_iter().map(|node| Output::Mesh { node, message: notify.clone() }));
         }
         if let Some(read) = self.watermarks.announcement(self.mirror.revision) {
             let message = MeshMessage::Read { revision: read.0 };
@@ -43,7 +43,7 @@
     }
 
     /// Another node has written, or waits to tell of what this one may not have read.
-    pub(super) fn poked(&mut self, node: &str, revision: u64, out: &mut Vec<Output>) {
+    pub(super) fn notified(&mut self, node: &str, revision: u64, out: &mut Vec<Output>) {
         log::debug!("{node} has written revision {revision}");
         let read = self.mirror.revision;
         if Revision(revision) > read {
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -10,30 +10,30 @@
 const BEAT_MS: u64 = 1000;
 /// A beat older than that says nothing about now.
 const FRESH_MS: u64 = 2_600;
-/// Workers that turned up here within this time count as strays.
-const STRAY_MS: u64 = 7_000;
+/// Workers that turned up here within this time count as misdirected.
+const MISDIRECTED_MS: u64 = 7_000;
 /// Workers remembered at most.
-const MOST_STRAYS: usize = 4096;
+const MOST_MISDIRECTED: usize = 4096;
 
 #[derive(Debug)]
 struct Peer {
     heard: Millis,
     state_ok: bool,
-    strays: u32,
+    misdirected: u32,
     /// Strays of nodes that it hears from: this node may not.
-    hearsay: u32,
+    misdirected_elsewhere: u32,
 }
 
 impl Peer {
-    fn all_strays(&self) -> u32 {
-        self.strays.saturating_add(self.hearsay)
+    fn all_misdirected(&self) -> u32 {
+        self.misdirected.saturating_add(self.misdirected_elsewhere)
     }
 }
 
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: HashMap<String, Peer>,
-    strays: HashMap<String, Millis>,
+    misdirected: HashMap<String, Millis>,
     next_beat: Millis,
     /// The leader asked this node to take over.
     pub favoured_until: Millis,
@@ -45,30 +45,30 @@
             return;
         }
         self.next_beat = now.plus(BEAT_MS);
-        self.strays.retain(|_, at| now.since(*at) < STRAY_MS);
-        let strays = self.strays.len() as u32;
+        self.misdirected.retain(|_, at| now.since(*at) < MISDIRECTED_MS);
+        let misdirected = self.misdirected.len() as u32;
         for node in names {
             let others = self.fresh(now).filter(|(name, _)| *name != node);
-            let hearsay = others.map(|(_, peer)| peer.strays).sum();
-            let message = MeshMessage::Beat { state_ok, strays, hearsay };
+            let misdirected_elsewhere = others.map(|(_, peer)| peer.misdirected).sum();
+            let message = MeshMessage::Beat { state_ok, misdirected, misdirected_elsewhere };
             out.push(Output::Mesh { node: node.clone(), message });
         }
     }
 
-    pub fn heard(&mut self, now: Millis, node: &str, state_ok: bool, strays: u32, hearsay: u32) {
-        self.peers.insert(node.into(), Peer { heard: now, state_ok, strays, hearsay });
+    pub fn heard(&mut self, now: Millis, node: &str, state_ok: bool, misdirected: u32, misdirected_elsewhere: u32) {
+        self.peers.insert(node.into(), Peer { heard: now, state_ok, misdirected, misdirected_elsewhere });
     }
 
     /// A worker that should report to the leader reported here.
-    pub fn stray(&mut self, now: Millis, machine: &str) {
-        if self.strays.len() < MOST_STRAYS || self.strays.contains_key(machine) {
-            self.strays.insert(machine.into(), now);
+    pub fn saw_misdirected(&mut self, now: Millis, machine: &str) {
+        if self.misdirected.len() < MOST_MISDIRECTED || self.misdirected.contains_key(machine) {
+            self.misdirected.insert(machine.into(), now);
         }
     }
 
-    /// This node leads now: workers that report here are no strays.
-    pub fn not_stray(&mut self) {
-        self.strays.clear();
+    /// This node leads now: workers that report here are no misdirected.
+    pub fn clear_misdirected(&mut self) {
+        self.misdirected.clear();
     }
 
     fn fresh(&self, now: Millis) -> impl Iterator<Item = (&String, &Peer)> {
@@ -94,7 +94,7 @@
     /// Between two zones cut from each other that is the node that hears both.
     pub fn best_placed(&self, now: Millis) -> Option<(String, u32)> {
         let able = self.fresh(now).filter(|(_, peer)| peer.state_ok);
-        let best = able.max_by_key(|(name, peer)| (peer.all_strays(), std::cmp::Reverse((*name).clone())));
-        best.map(|(name, peer)| (name.clone(), peer.all_strays()))
+        let best = able.max_by_key(|(name, peer)| (peer.all_misdirected(), std::cmp::Reverse((*name).clone())));
+        best.map(|(name, peer)| (name.clone(), peer.all_misdirected()))
     }
 }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -10,10 +10,10 @@
     /// First frame of a connection: which node is calling.
     Hello { node: String },
     /// Something was accepted or has ended at this revision; the receiver may want to look, and says how far it has read.
-    Poke { revision: u64 },
+    Notify { revision: u64 },
     /// Once a second: is the state service answering, and how many workers that
     /// belong to the leader have turned up here lately, or at nodes heard from here?
-    Beat { state_ok: bool, strays: u32, hearsay: u32 },
+    Beat { state_ok: bool, misdirected: u32, misdirected_elsewhere: u32 },
     /// The leader resigns and would like the receiver to take over.
     Yield,
     /// A client asked what only the leader knows. Only said where the operators' interface is on.
