--- a/crates/cli/tests/scale_run.rs
+++ b/crates/cli/tests/scale_run.rs
@@ -69,7 +69,8 @@
     let folder = tempfile::tempdir().expect("a folder");
     let plan = folder.path().join("large.hcl");
     let whole = std::fs::read_to_string(small()).expect("the small plan");
-    std::fs::write(&plan, whole.replacen("per_zone       = 40", "per_zone       = 100000000", 1)).expect("a plan");
+    std::fs::write(&plan, whole.replacen("per_zone       = 40", "per_zone       = 100000000", 1))
+        .expect("a plan");
     let out = folder.path().join("out");
     let output = Command::new(LATCH).args(["scale", "run"]).arg(&plan).arg("--out").arg(&out).output();
     let output = output.expect("the program runs");
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -12,7 +12,7 @@
 use olivelatch_net::server::{Conn, HttpServer, Incoming, Port};
 use olivelatch_region::controller_place;
 use olivelatch_worker::{
-    Descriptions, GangTimes, Phase, TaskAttempt, ReportAnswer, ReportTimes, Reporter, Worker, coordinate,
+    Descriptions, GangTimes, Phase, ReportAnswer, ReportTimes, Reporter, TaskAttempt, Worker, coordinate,
 };
 use polling::Events;
 use rand::rngs::StdRng;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -55,7 +55,14 @@
         }
     }
 
-    pub fn heard(&mut self, now: Millis, node: &str, state_ok: bool, misdirected: u32, misdirected_elsewhere: u32) {
+    pub fn heard(
+        &mut self,
+        now: Millis,
+        node: &str,
+        state_ok: bool,
+        misdirected: u32,
+        misdirected_elsewhere: u32,
+    ) {
         self.peers.insert(node.into(), Peer { heard: now, state_ok, misdirected, misdirected_elsewhere });
     }
 
@@ -66,7 +73,7 @@
         }
     }
 
-    /// This node leads now: workers that report here are no misdirected.
+    /// This node leads now: workers that report here are not misdirected.
     pub fn clear_misdirected(&mut self) {
         self.misdirected.clear();
     }
@@ -94,7 +101,8 @@
     /// Between two zones cut from each other that is the node that hears both.
     pub fn best_placed(&self, now: Millis) -> Option<(String, u32)> {
         let able = self.fresh(now).filter(|(_, peer)| peer.state_ok);
-        let best = able.max_by_key(|(name, peer)| (peer.all_misdirected(), std::cmp::Reverse((*name).clone())));
+        let best =
+            able.max_by_key(|(name, peer)| (peer.all_misdirected(), std::cmp::Reverse((*name).clone())));
         best.map(|(name, peer)| (name.clone(), peer.all_misdirected()))
     }
 }
