--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -64,6 +64,8 @@
 const WORKER_BYTES: u64 = 200_000;
 const CONTROLLER_BYTES: u64 = 120_000_000;
 const REST_BYTES: u64 = 500_000_000;
+/// The address of the run's processes; workers have one each.
+const SERVED: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
 /// The file with the controllers' tunables, in the run's folder.
 const TUNABLES: &str = "tunables.hcl";
 /// Files a process needs beside its connections.
@@ -110,6 +112,8 @@
     zones: Vec<ZoneLink>,
     controllers: Vec<SocketAddr>,
     processes: Vec<Managed>,
+    /// Held until the run is over.
+    _ports: Ports,
     figures: Vec<ProcessFigures>,
     own: ProcessFigures,
     state_control: SocketAddr,
@@ -177,17 +181,27 @@
     Ok(limit)
 }
 
-fn loopback(port: u16) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+/// Ports that are this run's own while it lives: each is held on one loopback address, so that no other run is given it, and
+/// used on others.
+struct Ports {
+    held: Vec<TcpListener>,
 }
 
-/// Addresses that are free now, all different.
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, ScaleError> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind(loopback(0)))
-        .collect::<Result<_, _>>()
-        .map_err(io_error("free ports"))?;
-    listeners.iter().map(|listener| listener.local_addr().map_err(io_error("free ports"))).collect()
+impl Ports {
+    fn hold(count: usize) -> Result<Ports, ScaleError> {
+        let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+        let held = (0..count).map(bind).collect::<Result<_, _>>().map_err(io_error("free ports"))?;
+        Ok(Ports { held })
+    }
+
+    /// Where the run's processes listen.
+    fn addresses(&self) -> Result<Vec<SocketAddr>, ScaleError> {
+        let address = |held: &TcpListener| {
+            let port = held.local_addr().map_err(io_error("free ports"))?.port();
+            Ok(SocketAddr::from((SERVED, port)))
+        };
+        self.held.iter().map(address).collect()
+    }
 }
 
 fn to_json(value: &impl serde::Serialize, what: &str) -> Result<String, ScaleError> {
@@ -277,7 +291,8 @@
             signal_hook::flag::register(signal, stop.clone()).map_err(io_error("signals"))?;
         }
         let count = plan.controllers;
-        let free = free_addresses(2 * count + plan.zones.len() + 4)?;
+        let ports = Ports::hold(2 * count + plan.zones.len() + 4)?;
+        let free = ports.addresses()?;
         let (controllers, rest) = free.split_at(count);
         let (meshes, rest) = rest.split_at(count);
         let (zone_controls, rest) = rest.split_at(plan.zones.len());
@@ -317,6 +332,7 @@
                 .collect(),
             own: ProcessFigures::new("load, cloud, check", Role::Load),
             processes,
+            _ports: ports,
             state_control,
             state: StateFigures::default(),
             state_before: StateFigures::default(),
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -64,6 +64,7 @@
     let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy");
     let load = |file: &str| Tunables::load(&folder.join(file)).expect("a good file");
     assert!(load("operators.hcl").operators.enabled && !load("operators.hcl").graphs.enabled);
+    assert!(load("config.hcl").config.enabled && !load("operators.hcl").config.enabled);
     let graphs = load("graphs.hcl");
     assert!(graphs.operators.enabled && graphs.graphs.enabled && graphs.graphs.pools.contains_key("billing"));
     let alone = Tunables::parse("f.hcl", "graphs {\n  enabled = true\n}\n").expect_err("alone").to_string();
