--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -205,7 +205,8 @@
     pub leads: Vec<Lead>,
     /// By series of the plan.
     pub changes: BTreeMap<String, ChangeFigures>,
-    /// Tasks of urgent classes that waited longer than `URGENT_AIM_MS`, and how many of them by their team's own limit.
+    /// Tasks of urgent classes that waited longer than `URGENT_AIM_MS`, and how many of them belong to
+    /// jobs for which their team had no room under its limit when they were accepted.
     pub urgent_late: u64,
     pub urgent_late_at_limit: u64,
     pub processes: Vec<ProcessFigures>,
@@ -348,7 +349,7 @@
         }
         writeln!(
             text,
-            "urgent tasks later than {:.1} s: {}, of these {} with their team at its limit when they started",
+            "urgent tasks later than {:.1} s: {}, of these {} of jobs that their team's limit had no room for",
             URGENT_AIM_MS as f64 / 1000.0,
             self.urgent_late,
             self.urgent_late_at_limit
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -54,8 +54,6 @@
 const CONTROL_PATIENCE_MS: u64 = 10_000;
 /// Jobs are told to the workers so long before they are submitted.
 const DESCRIBE_AHEAD_MS: u64 = 2_000;
-/// A team with less room than this under its limit is at it.
-const AT_LIMIT_CPUS: f64 = 20.0;
 /// A submission that goes out later than planned by more than this is the load side's delay.
 const LATE_MS: u64 = 250;
 const START_PATIENCE_MS: u64 = 30_000;
@@ -646,6 +644,9 @@
             Outcome::Accepted { after_ms } => {
                 self.report.accepted += 1;
                 self.waiting += tasks;
+                let needs = arrival.cpus * f64::from(arrival.tasks);
+                let at_limit = self.check.room(arrival.team) < needs;
+                self.users.all[at].team_at_limit = at_limit;
                 self.acceptance.record(after_ms);
             }
             Outcome::Cancelled => {
@@ -705,9 +706,8 @@
             self.waiting -= 1;
             let urgent = self.plan.jobs.get(&arrival.class).is_some_and(|job| job.urgency <= Urgency::High);
             if urgent && wait_ms > URGENT_AIM_MS {
-                let team = arrival.team;
                 self.report.urgent_late += 1;
-                self.report.urgent_late_at_limit += u64::from(self.check.room(team) < AT_LIMIT_CPUS);
+                self.report.urgent_late_at_limit += u64::from(self.users.all[*user].team_at_limit);
             }
         }
     }
--- a/crates/scale/src/users.rs
+++ b/crates/scale/src/users.rs
@@ -39,6 +39,8 @@
     /// Its last request was the first one.
     pub first_call: bool,
     pub accepted: Option<u64>,
+    /// Its team had no room for it under its limit when it was accepted.
+    pub team_at_limit: bool,
     pub cancelled: bool,
     pub done: bool,
     /// For each zone, how many commands it must have taken before the job may be submitted.
@@ -94,6 +96,7 @@
             first_try: at_ms,
             first_call: false,
             accepted: None,
+            team_at_limit: false,
             cancelled: false,
             done: false,
             described_by,
