--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -42,9 +42,9 @@
             let now = client.config_get(entry)?;
             change_one(common, &mut client, entry, TeamValue::default(), now.version, change)
         }
-        Config::Diff { file, to } => apply(common, file, to, None, &Change::default()),
+        Config::Diff { file, to } => apply(common, file, to, Mode::Show, &Change::default()),
         Config::Apply { file, to, dry_run, change } => {
-            apply(common, file, to, (!dry_run).then_some(()), change)
+            apply(common, file, to, if *dry_run { Mode::Show } else { Mode::Write }, change)
         }
     }
 }
@@ -102,6 +102,13 @@
     }
 }
 
+/// Whether a file is laid down or only compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    Show,
+    Write,
+}
+
 /// What became of a file in one region.
 struct Outcome {
     context: String,
@@ -119,7 +126,7 @@
     common: &Common,
     path: &std::path::Path,
     to: &[String],
-    write: Option<()>,
+    mode: Mode,
     change: &Change,
 ) -> Result<ExitCode, Failure> {
     let file = ConfigFile::load(path)?;
@@ -127,8 +134,8 @@
         if to.is_empty() { vec![None] } else { to.iter().map(|name| Some(name.as_str())).collect() };
     let mut outcomes = Vec::new();
     for context in contexts {
-        let result = connect_to(common, context)
-            .and_then(|mut client| apply_in(&mut client, &file, write.is_some(), change));
+        let result =
+            connect_to(common, context).and_then(|mut client| apply_in(&mut client, &file, mode, change));
         outcomes.push(Outcome { context: context.unwrap_or("current").into(), result });
     }
     let mut code = ExitCode::SUCCESS;
@@ -154,7 +161,7 @@
     Ok(code)
 }
 
-fn apply_in(client: &mut Client, file: &ConfigFile, write: bool, change: &Change) -> Result<Region, Failure> {
+fn apply_in(client: &mut Client, file: &ConfigFile, mode: Mode, change: &Change) -> Result<Region, Failure> {
     let list = client.config_list()?;
     let differences = file.differences(&list);
     if let Some(unknown) = differences.iter().find(|difference| difference.now.is_none()) {
@@ -165,7 +172,7 @@
     let start = Instant::now();
     for difference in &differences {
         region.lines.push(difference_line(difference));
-        if !write {
+        if mode == Mode::Show {
             continue;
         }
         let expected = difference.now.map(|now| now.version);
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run/mod.rs
@@ -1,7 +1,11 @@
 //! One run: everything is started, loaded, struck, watched, asked at the end, and ended.
 
+mod faults;
+mod start;
+mod watch;
+
 use std::collections::{HashMap, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -12,10 +16,10 @@
 use olivelatch_net::caller::{Caller, Slot};
 use olivelatch_net::http::Response;
 use olivelatch_net::poll::{Gate, Keys};
-use olivelatch_net::server::{HttpServer, Port};
-use olivelatch_region::{Plan as Addresses, controller_name, controller_place, controller_settings};
+use olivelatch_net::server::HttpServer;
 use polling::Events;
-use signal_hook::consts::{SIGINT, SIGTERM};
+
+use start::{to_json, write_file};
 
 use crate::arrivals::Arrivals;
 use crate::changes::Changes;
@@ -23,12 +27,11 @@
 use crate::cloud::RunCloud;
 use crate::control::{StateFigures, TaskEvent, TaskEventKind, ZoneCommand, ZoneNews};
 use crate::error::{ScaleError, io_error};
-use crate::figures::{Lead, PhaseFigures, ProcessFigures, Report, Second, Times, URGENT_AIM_MS, Waits};
-use crate::hollow::{RunClock, ZoneArguments, unix_ms};
+use crate::figures::{Lead, ProcessFigures, Report, Times, URGENT_AIM_MS, Waits};
+use crate::hollow::RunClock;
 use crate::page;
 use crate::plan::{FaultKind, Plan};
-use crate::processes::{Launch, Managed, Role, allow_files, make_folder, memory, sample_self};
-use crate::state::StateArguments;
+use crate::processes::{Managed, make_folder};
 use crate::users::{Outcome, Users};
 
 /// What a run is told on the command line.
@@ -48,7 +51,6 @@
 const SAMPLE_MS: u64 = 1_000;
 /// Machines come up and go within this after they are due.
 const CLOUD_MS: u64 = 100;
-const PROGRESS_MS: u64 = 5_000;
 /// Commands in one message to a zone.
 const COMMAND_BYTES: usize = 48 * 1024;
 const CONTROL_PATIENCE_MS: u64 = 10_000;
@@ -58,16 +60,6 @@
 const LATE_MS: u64 = 250;
 const START_PATIENCE_MS: u64 = 30_000;
 const LAST_QUESTIONS_MS: u64 = 60_000;
-/// Expected memory: a hollow worker, a controller, the rest.
-const WORKER_BYTES: u64 = 200_000;
-const CONTROLLER_BYTES: u64 = 120_000_000;
-const REST_BYTES: u64 = 500_000_000;
-/// The address of the run's processes; workers have one each.
-const SERVED: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
-/// The file with the controllers' tunables, in the run's folder.
-const TUNABLES: &str = "tunables.hcl";
-/// Files a process needs beside its connections.
-const SPARE_FILES: u64 = 500;
 
 /// Slots of the run's calls: zones, the state service, changes of configuration, users.
 const STATE_SLOT: usize = 1_000;
@@ -111,7 +103,7 @@
     controllers: Vec<SocketAddr>,
     processes: Vec<Managed>,
     /// Held until the run is over.
-    _ports: Ports,
+    _ports: start::Ports,
     figures: Vec<ProcessFigures>,
     own: ProcessFigures,
     state_control: SocketAddr,
@@ -145,7 +137,7 @@
 /// Plays a plan. Exit code 1: a rule was broken.
 pub fn run(arguments: &RunArguments) -> Result<ExitCode, ScaleError> {
     let plan = Plan::load(&arguments.plan)?;
-    let memory_limit = refuse_if_too_small(&plan)?;
+    let memory_limit = start::refuse_if_too_small(&plan)?;
     make_folder(&arguments.out)?;
     let mut run = Run::start(plan, arguments, memory_limit)?;
     let ended = run.play();
@@ -161,214 +153,7 @@
     Ok(if broken || interrupted { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
-/// The memory that all processes together may take, if the machine is large enough for the plan.
-fn refuse_if_too_small(plan: &Plan) -> Result<u64, ScaleError> {
-    let workers = plan.most_workers() as u64;
-    allow_files(3 * workers + SPARE_FILES)?;
-    let (total, free) = memory()?;
-    let wanted = workers * WORKER_BYTES + plan.controllers as u64 * CONTROLLER_BYTES + REST_BYTES;
-    let limit = total / 2;
-    if wanted > limit.min(free) {
-        return Err(ScaleError::Refused(format!(
-            "about {} MB are needed; {} MB are free, and half of the machine's memory is {} MB",
-            wanted / 1_000_000,
-            free / 1_000_000,
-            limit / 1_000_000
-        )));
-    }
-    Ok(limit)
-}
-
-/// Ports that are this run's own while it lives: each is held on one loopback address, so that no other run is given it, and
-/// used on others.
-struct Ports {
-    held: Vec<TcpListener>,
-}
-
-impl Ports {
-    fn hold(count: usize) -> Result<Ports, ScaleError> {
-        let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-        let held = (0..count).map(bind).collect::<Result<_, _>>().map_err(io_error("free ports"))?;
-        Ok(Ports { held })
-    }
-
-    /// Where the run's processes listen.
-    fn addresses(&self) -> Result<Vec<SocketAddr>, ScaleError> {
-        let address = |held: &TcpListener| {
-            let port = held.local_addr().map_err(io_error("free ports"))?.port();
-            Ok(SocketAddr::from((SERVED, port)))
-        };
-        self.held.iter().map(address).collect()
-    }
-}
-
-fn to_json(value: &impl serde::Serialize, what: &str) -> Result<String, ScaleError> {
-    serde_json::to_string(value).map_err(|error| ScaleError::Json { what: what.into(), error })
-}
-
-fn write_file(path: &Path, text: &str) -> Result<(), ScaleError> {
-    std::fs::write(path, text).map_err(io_error(path.display().to_string()))
-}
-
-/// Starts all processes of a run.
-struct Starter<'a> {
-    plan: &'a Plan,
-    arguments: &'a RunArguments,
-    epoch_ms: u64,
-}
-
-impl Starter<'_> {
-    fn launch(&self, name: &str, arguments: Vec<String>) -> Launch {
-        Launch {
-            program: self.arguments.program.clone(),
-            arguments,
-            log: self.arguments.out.join(format!("{name}.log")),
-            log_level: self.arguments.log_level.clone(),
-        }
-    }
-
-    fn state(&self, address: SocketAddr, control: SocketAddr) -> Result<Managed, ScaleError> {
-        let file = self.arguments.out.join("state.redb");
-        // A run begins with nothing.
-        let _ = std::fs::remove_file(&file);
-        let state = &self.plan.state;
-        let told = StateArguments {
-            address,
-            control,
-            file,
-            epoch_ms: self.epoch_ms,
-            requests_per_s: state.requests_per_s,
-            changes_per_s: state.changes_per_s,
-            value_bytes: (state.value_kb * 1024.0) as usize,
-            txn_changes: state.txn_changes,
-        };
-        let arguments = vec!["scale".into(), "state".into(), to_json(&told, "arguments")?];
-        Managed::start("state".into(), Role::StateService, self.launch("state", arguments))
-    }
-
-    fn zone(
-        &self,
-        at: usize,
-        control: SocketAddr,
-        controllers: &[SocketAddr],
-    ) -> Result<Managed, ScaleError> {
-        let ms = |seconds: f64| (seconds * 1000.0) as u64;
-        let workers = &self.plan.workers;
-        let told = ZoneArguments {
-            control,
-            controllers: controllers.to_vec(),
-            epoch_ms: self.epoch_ms,
-            report_ms: ms(workers.report_s),
-            lease_ms: ms(workers.lease_s),
-            gang_wait_ms: ms(workers.gang_wait_s),
-            gang_peer_ms: ms(workers.gang_peer_s),
-            seed: self.plan.seed.wrapping_add(at as u64 + 1),
-            defect: self.plan.defect,
-        };
-        let name = format!("workers {}", self.plan.zones[at]);
-        let arguments = vec!["scale".into(), "zone".into(), to_json(&told, "arguments")?];
-        Managed::start(name.clone(), Role::HollowWorkers, self.launch(&name.replace(' ', "-"), arguments))
-    }
-
-    fn controller(&self, at: usize, addresses: &Addresses) -> Result<Managed, ScaleError> {
-        let name = controller_name(at);
-        let out = &self.arguments.out;
-        let (settings, tunables) = (out.join(format!("{name}.json")), out.join(TUNABLES));
-        write_file(&settings, &controller_settings(addresses, at, &self.plan.platform()).to_string())?;
-        let arguments = ["controller", "serve", "--tunables"].map(String::from).into_iter();
-        let files = [tunables.display().to_string(), "--config".into(), settings.display().to_string()];
-        let arguments = arguments.chain(files).collect();
-        Managed::start(name.clone(), Role::Controller, self.launch(&name, arguments))
-    }
-}
-
 impl Run {
-    fn start(plan: Plan, arguments: &RunArguments, memory_limit: u64) -> Result<Run, ScaleError> {
-        let stop = Arc::new(AtomicBool::new(false));
-        for signal in [SIGINT, SIGTERM] {
-            signal_hook::flag::register(signal, stop.clone()).map_err(io_error("signals"))?;
-        }
-        let count = plan.controllers;
-        let ports = Ports::hold(2 * count + plan.zones.len() + 4)?;
-        let free = ports.addresses()?;
-        let (controllers, rest) = free.split_at(count);
-        let (meshes, rest) = rest.split_at(count);
-        let (zone_controls, rest) = rest.split_at(plan.zones.len());
-        let addresses = Addresses {
-            state: rest[0],
-            cloud: rest[1],
-            desk: rest[1],
-            controllers: controllers.to_vec(),
-            meshes: meshes.to_vec(),
-        };
-        let (state_control, worker_port) = (rest[2], rest[3].port());
-        let gate = Arc::new(Gate::new().map_err(io_error("the poller"))?);
-        let (mut keys, mut server) = (Keys::default(), HttpServer::new(&gate));
-        server.listen(&mut keys, addresses.cloud, Port(0)).map_err(io_error("the cloud's address"))?;
-        let epoch_ms = unix_ms();
-        let starter = Starter { plan: &plan, arguments, epoch_ms };
-        let mut processes = vec![starter.state(addresses.state, state_control)?];
-        for (at, control) in zone_controls.iter().enumerate() {
-            processes.push(starter.zone(at, *control, controllers)?);
-        }
-        // Written once, before any controller reads it.
-        write_file(&arguments.out.join(TUNABLES), &plan.tunables)?;
-        for at in 0..count {
-            processes.push(starter.controller(at, &addresses)?);
-        }
-        let link = |address: &SocketAddr| ZoneLink { address: Some(*address), ..ZoneLink::default() };
-        let limits = plan.team_plans().iter().map(|team| team.limit).collect();
-        let mut run = Run {
-            clock: RunClock::new(epoch_ms),
-            cloud: RunCloud::new(&plan, worker_port),
-            cloud_next: 0,
-            zones: zone_controls.iter().map(link).collect(),
-            controllers: controllers.to_vec(),
-            figures: processes
-                .iter()
-                .map(|process| ProcessFigures::new(&process.name, process.role))
-                .collect(),
-            own: ProcessFigures::new("load, cloud, check", Role::Load),
-            processes,
-            _ports: ports,
-            state_control,
-            state: StateFigures::default(),
-            state_before: StateFigures::default(),
-            state_next: 0,
-            state_open: false,
-            users: Users::new(count, plan.seed),
-            arrivals: Arrivals::new(&plan),
-            by_job: HashMap::new(),
-            check: Check::new(limits),
-            events: Vec::new(),
-            changes: Changes::new(&plan.changes, plan.team_plans(), plan.seed),
-            waits: Waits::default(),
-            acceptance: Times::default(),
-            strikes: Vec::new(),
-            load_from: u64::MAX,
-            killed_leader: None,
-            newest_token: 0,
-            report: Report::default(),
-            starts: 0,
-            waiting: 0,
-            sampled: 0,
-            progress: 0,
-            stop,
-            memory_limit,
-            caller: Caller::new(&gate),
-            gate,
-            keys,
-            server,
-            plan,
-        };
-        run.report.plan = arguments.plan.display().to_string();
-        run.report.seed = run.plan.seed;
-        run.report.controllers = count;
-        run.report.teams = run.plan.teams.count;
-        run.report.load_s = run.plan.load_s();
-        Ok(run)
-    }
-
     fn play(&mut self) -> Result<(), ScaleError> {
         self.wait_for_leader()?;
         let settled = self.clock.now() + (self.plan.settle_s * 1000.0) as u64;
@@ -723,185 +508,6 @@
         found.map(|(name, _)| name.as_str())
     }
 
-    fn leader(&self) -> Option<usize> {
-        controller_place(self.state.leader.as_deref()?, self.controllers.len())
-    }
-
-    /// The process of a controller: they come last.
-    fn controller_process(&self, at: usize) -> usize {
-        self.processes.len() - self.controllers.len() + at
-    }
-
-    fn strike(&mut self, now: u64) -> Result<(), ScaleError> {
-        let due: Vec<usize> = (0..self.strikes.len()).filter(|at| self.strikes[*at].0 <= now).collect();
-        for at in due.into_iter().rev() {
-            let (_, strike) = self.strikes.swap_remove(at);
-            self.carry_out(strike, now)?;
-        }
-        Ok(())
-    }
-
-    fn carry_out(&mut self, strike: Strike, now: u64) -> Result<(), ScaleError> {
-        let later = |seconds: f64| now + (seconds * 1000.0) as u64;
-        match strike {
-            Strike::Begin(FaultKind::KillLeader { back_s, .. }) => {
-                let Some(leader) = self.leader() else { return Ok(()) };
-                self.killed_leader = Some(now);
-                let process = self.controller_process(leader);
-                self.processes[process].kill();
-                println!("killed the leader, {}", controller_name(leader));
-                self.strikes.push((later(back_s), Strike::Restart(process)));
-            }
-            Strike::Begin(FaultKind::KillWorkers { share, back_s, .. }) => {
-                self.cloud.lose(share);
-                println!("lost {:.0}% of the workers", share * 100.0);
-                self.strikes.push((later(back_s), Strike::RoomIsBack));
-            }
-            Strike::Begin(FaultKind::Freeze { leader, for_s, .. }) => {
-                let Some(leads) = self.leader() else { return Ok(()) };
-                let at = if leader { leads } else { (leads + 1) % self.controllers.len() };
-                let process = self.controller_process(at);
-                self.processes[process].freeze(true);
-                println!("{} stands still", controller_name(at));
-                self.strikes.push((later(for_s), Strike::Thaw(process)));
-            }
-            Strike::Begin(FaultKind::CutZones { zones, for_s, .. }) => {
-                println!("cut off: {}", zones.join(", "));
-                self.cut(&zones, true);
-                self.strikes.push((later(for_s), Strike::Heal(zones)));
-            }
-            Strike::RoomIsBack => self.cloud.room_is_back(&self.plan),
-            Strike::Restart(process) => self.processes[process].restart()?,
-            Strike::Thaw(process) => self.processes[process].freeze(false),
-            Strike::Heal(zones) => self.cut(&zones, false),
-        }
-        Ok(())
-    }
-
-    fn cut(&mut self, zones: &[String], cut: bool) {
-        for at in 0..self.zones.len() {
-            if zones.contains(&self.plan.zones[at]) {
-                self.command(at, ZoneCommand::Cut(cut));
-            }
-        }
-    }
-
-    fn sample(&mut self, now: u64) -> Result<(), ScaleError> {
-        self.sampled = now;
-        let mut second = Second {
-            at_s: now.saturating_sub(self.load_from) / 1000,
-            starts: std::mem::take(&mut self.starts),
-            running: self.zones.iter().map(|zone| zone.news.on).sum(),
-            workers: self.zones.iter().map(|zone| zone.news.workers).sum(),
-            waiting: self.waiting,
-            reports: self.zones.iter().map(|zone| zone.news.reports).sum(),
-            state_requests: self.state.requests,
-            state_changes: self.state.changes,
-            load_cpu: self.own.take(now, Some(sample_self())),
-            ..Second::default()
-        };
-        let leader = self.leader().map(|leader| self.controller_process(leader));
-        let mut bytes = sample_self().memory_bytes;
-        for at in 0..self.processes.len() {
-            let sample = self.processes[at].sample();
-            bytes += sample.map_or(0, |sample| sample.memory_bytes);
-            let share = self.figures[at].take(now, sample);
-            match self.processes[at].role {
-                Role::Controller => second.controllers_cpu += share,
-                Role::StateService => second.state_cpu += share,
-                Role::HollowWorkers => second.workers_cpu += share,
-                Role::Load => {}
-            }
-            if leader == Some(at) {
-                second.leader_cpu = share;
-            }
-            if self.processes[at].has_ended() {
-                return Err(ScaleError::Process(format!("{} has ended by itself", self.processes[at].name)));
-            }
-        }
-        if bytes > self.memory_limit {
-            return Err(ScaleError::Refused(format!("the processes take {} MB", bytes / 1_000_000)));
-        }
-        if self.load_from != u64::MAX {
-            self.report.seconds.push(second);
-            self.show_progress(now);
-        }
-        Ok(())
-    }
-
-    fn show_progress(&mut self, now: u64) {
-        if now < self.progress + PROGRESS_MS {
-            return;
-        }
-        self.progress = now;
-        let lately = self.report.seconds.iter().rev().take(5);
-        let starts: u64 = lately.clone().map(|second| second.starts).sum();
-        let Some(second) = self.report.seconds.last() else { return };
-        println!(
-            "{:>4} s {:<14} {:>5.0} starts/s {:>6} on workers {:>7} waiting {:>5} workers  leader {:.2} controllers {:.2} workers {:.2} load {:.2} of a core, {} violations",
-            second.at_s,
-            self.phase_at(second.at_s * 1000).unwrap_or("after"),
-            starts as f64 / lately.len().max(1) as f64,
-            second.running,
-            second.waiting,
-            second.workers,
-            second.leader_cpu,
-            second.controllers_cpu,
-            second.workers_cpu,
-            second.load_cpu,
-            self.check.violations().len()
-        );
-    }
-
-    /// What counts over the load is taken at its end.
-    fn end_load(&mut self, load_end: u64) {
-        let seconds = load_end.saturating_sub(self.load_from) as f64 / 1000.0;
-        if seconds <= 0.0 {
-            return;
-        }
-        let since = |pick: fn(&ZoneNews) -> u64| -> f64 {
-            let moved = self.zones.iter().map(|zone| pick(&zone.news) - pick(&zone.before));
-            moved.sum::<u64>() as f64 / seconds
-        };
-        let workers = self.report.seconds.iter().map(|second| second.workers).max().unwrap_or(0);
-        let one = workers.max(1) as f64;
-        let (bytes_in, bytes_out) = (since(|news| news.bytes_in) / one, since(|news| news.bytes_out) / one);
-        let (reports, commands) = (since(|news| news.reports), since(|news| news.commands));
-        let figures = &mut self.report.workers;
-        figures.workers_peak = workers;
-        figures.bytes_in_per_s = bytes_in;
-        figures.bytes_out_per_s = bytes_out;
-        figures.reports_per_s = reports;
-        figures.commands_per_s = commands;
-        let hollow = || self.figures.iter().filter(|figures| figures.role == Role::HollowWorkers);
-        figures.cpu_share = hollow().map(|figures| figures.cpu_mean).sum::<f64>() / one;
-        figures.memory_mb = hollow().map(|figures| figures.memory_peak_mb).sum::<f64>() / one;
-        let (now, before) = (&self.state, &self.state_before);
-        let per_s = |now: u64, before: u64| (now - before) as f64 / seconds;
-        let state = &mut self.report.state;
-        state.requests_per_s = per_s(now.requests, before.requests);
-        state.changes_per_s = per_s(now.changes, before.changes);
-        state.bytes_in_per_s = per_s(now.bytes_in, before.bytes_in);
-        state.bytes_out_per_s = per_s(now.bytes_out, before.bytes_out);
-    }
-
-    fn phase_figures(&self) -> Vec<PhaseFigures> {
-        let mut begin_s = 0.0;
-        let mut phases = Vec::new();
-        for (name, phase) in &self.plan.phases {
-            let end_s = begin_s + phase.seconds;
-            let within = |second: &&Second| (begin_s..end_s).contains(&(second.at_s as f64));
-            let starts: u64 = self.report.seconds.iter().filter(within).map(|second| second.starts).sum();
-            phases.push(PhaseFigures {
-                name: name.clone(),
-                planned_starts_per_s: phase.starts_per_s,
-                starts_per_s: starts as f64 / phase.seconds,
-            });
-            begin_s = end_s;
-        }
-        phases
-    }
-
     /// Ends everything and writes what was measured.
     fn finish(&mut self, out: &Path) -> Result<(), ScaleError> {
         self.processes.iter_mut().for_each(Managed::kill);
