--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -250,6 +250,19 @@
     Plan { head, troubles, users: Trouble::new(), tail }
 }
 
+/// Two or three troubles, each at most so long after the one before, and when a next one would begin.
+fn overlapping(rng: &mut SmallRng, nodes: usize, most_gap_ms: u64) -> (Vec<(u64, Trouble)>, u64) {
+    let mut troubles = Vec::new();
+    let mut begin = 0;
+    for _ in 0..rng.random_range(2..4) {
+        let from_both = rng.random_range(0..5) > 0;
+        let trouble = if from_both { any_trouble(rng, nodes) } else { quick_return(rng, nodes) };
+        troubles.push((begin, trouble));
+        begin += rng.random_range(0..most_gap_ms);
+    }
+    (troubles, begin)
+}
+
 /// Two or three troubles over one another, with jobs of every shape, long tasks, cancellations and questions.
 fn meetings(seed: u64) -> Plan {
     const LONG: std::ops::Range<usize> = 30..36;
@@ -278,15 +291,7 @@
     if seed % 4 == 1 {
         head.push("state uneven".into());
     }
-    let count = rng.random_range(2..4);
-    let mut troubles = Vec::new();
-    let mut begin = 0;
-    for _ in 0..count {
-        let from_both = rng.random_range(0..5) > 0;
-        let trouble = if from_both { any_trouble(&mut rng, nodes) } else { quick_return(&mut rng, nodes) };
-        troubles.push((begin, trouble));
-        begin += rng.random_range(0..8_000);
-    }
+    let (troubles, begin) = overlapping(&mut rng, nodes, 8_000);
     let mut users = Trouble::new();
     for job in LONG {
         users.push((rng.random_range(0..begin + 20_000), format!("abort {job}")));
@@ -376,14 +381,7 @@
         "submit 3 gang tasks=3 cpus=2 run=15 checkpoint=4",
         "advance 8",
     ]));
-    let mut troubles = Vec::new();
-    let mut begin = 0;
-    for _ in 0..rng.random_range(2..4) {
-        let from_both = rng.random_range(0..5) > 0;
-        let trouble = if from_both { any_trouble(&mut rng, nodes) } else { quick_return(&mut rng, nodes) };
-        troubles.push((begin, trouble));
-        begin += rng.random_range(0..12_000);
-    }
+    let (troubles, begin) = overlapping(&mut rng, nodes, 12_000);
     let mut users = Trouble::new();
     for change in 0..CHANGES {
         let team = one_of(&mut rng, &["core", "guest"]);
