Review, case 1: an answer of the cloud is taken for another request's

Cause: every term of a leader numbers its requests to the cloud from the same value, while those of the term before may still be in flight. An answer that arrives late is then matched to the new term's request with the same number.

Change: none to the project. review/1 is the case, review/standins the stand-ins of the state service, the cloud, the workers and the users, on the standard library alone; review/build.sh builds them.

--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,11 @@
+mod late_answer;
+
+use crate::Verdict;
+
+/// The case with this name.
+pub fn find(name: &str) -> Option<fn(bool) -> Verdict> {
+    Some(match name {
+        "late_answer" => late_answer::run,
+        _ => return None,
+    })
+}
