--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,3 +1,4 @@
+mod deaf;
 mod late_answer;
 
 use crate::Verdict;
@@ -5,6 +6,7 @@
 /// The case with this name.
 pub fn find(name: &str) -> Option<fn(bool) -> Verdict> {
     Some(match name {
+        "deaf" => deaf::run,
         "late_answer" => late_answer::run,
         _ => return None,
     })
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -2,6 +2,7 @@
 //! deploy file, and the stand-ins that they talk to.
 
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -18,9 +19,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
+const SIGKILL: u64 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 
 /// The settings of a deployment.
 pub struct Site {
@@ -266,7 +270,15 @@
     pub fn start(&self) {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("log file");
         let level = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into());
-        let child = Command::new(&self.command[0])
+        let mut command = Command::new(&self.command[0]);
+        // SAFETY: one system call in the new process: it ends with this program, however this program ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            })
+        };
+        let child = command
             .args(&self.command[1..])
             .arg(&self.settings)
             .env("LOG_LEVEL", level)
