Review, case 3: tasks of a one-zone array wait beside an idle machine

Cause: when the last task of a job leaves a zone, only the machine that it was on is looked at again. A machine in another zone whose queue holds tasks of the job stays idle, as nothing marks it.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 mod deaf;
 mod late_answer;
+mod together;
 
 use crate::Verdict;
 
@@ -8,6 +9,7 @@
     Some(match name {
         "deaf" => deaf::run,
         "late_answer" => late_answer::run,
+        "together" => together::run,
         _ => return None,
     })
 }
