Placement: examine machines again when a job's zone rule allows their zone

Cause: a placement pass examines only marked machines. A zone rule depends on tasks on other machines, but when the last task left a zone, only the machine that it was on was marked. The machine with the waiting tasks was in no set from which machines are examined again: its queue is not empty, so it does not steal, and no team's limit is in the way. `scatter` had the same fault.

Change: the placement index records the machines on which a job's zone rule keeps queued tasks from starting. remove_binding, through which every task leaves a machine, examines those again whose zone is allowed now, and resumes thieves as for newly queued tasks. No timer is involved.

--- a/src/coordination/leader/cancellation.rs
+++ b/src/coordination/leader/cancellation.rs
@@ -45,6 +45,7 @@
         {
             self.placement.waiting_gangs.remove(&job_state.rank);
             self.remove_queued_tasks(ix);
+            self.cluster.placement_index.remove_job(ix);
             self.release_holds_of(ix);
         }
         self.event_log.record_job_event(id, JobEventKind::Cancelled);
--- a/src/coordination/leader/counters.rs
+++ b/src/coordination/leader/counters.rs
@@ -14,6 +14,8 @@
     pub tasks_bound: u64,
     /// Machines examined as candidates for tasks, or to steal from.
     pub machines_examined: u64,
+    /// Machines examined again because a job's zone rule allows their zone again.
+    pub zone_rule_wakes: u64,
     /// Searches of all suitable machines for a placement of a gang.
     pub gang_searches: u64,
     /// Mutations sent to the key-value store.
--- a/src/coordination/leader/job_tracking.rs
+++ b/src/coordination/leader/job_tracking.rs
@@ -66,6 +66,7 @@
             && let Some(ix) = ix
         {
             self.workload.jobs.remove(&ix);
+            self.cluster.placement_index.remove_job(ix);
         }
     }
 
--- a/src/coordination/leader/machines/placement_index.rs
+++ b/src/coordination/leader/machines/placement_index.rs
@@ -1,7 +1,7 @@
 //! Index of the machines that placement has to examine: only those on which something changed.
 //!
 //! Owns the sets of schedulable machines, by type and zone, and the sets of machines that are to be filled
-//! with queued tasks, that are in backoff, or that are blocked by a quota. Whether a machine is schedulable
+//! with queued tasks, that are in backoff, or that are blocked by a quota or a zone rule. Whether a machine is schedulable
 //! is decided elsewhere and passed to `PlacementIndex::update`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-use crate::ids::{MachineIx, MachineTypeIx, Millis, ZoneIx};
+use crate::ids::{JobIx, MachineIx, MachineTypeIx, Millis, ZoneIx};
 
 /// When a task leaves, its team's limit lets about one more task start: this many blocked machines are tried.
 const QUOTA_BLOCKED_WAKE_COUNT: usize = 8;
@@ -17,7 +17,7 @@
 /// The type and the zone of a machine.
 pub(in crate::coordination::leader) type TypeAndZone = (MachineTypeIx, ZoneIx);
 
-/// The index. Its size is bounded by the number of machines.
+/// The index. Its size is bounded by the number of machines, and by the number of queues in which each job has tasks.
 #[derive(Debug, Default)]
 pub(in crate::coordination::leader) struct PlacementIndex {
     /// Machines that may get tasks; those that are cordoned or reserved get only gangs and services.
@@ -41,6 +41,8 @@
     paused: BTreeSet<MachineIx>,
     /// Machines with queued tasks that cannot start because of their teams' limits.
     quota_blocked: BTreeSet<MachineIx>,
+    /// For each job, the machines with queued tasks of it that its zone rule keeps from starting there.
+    zone_blocked: BTreeMap<JobIx, BTreeSet<MachineIx>>,
     /// Machines that may have tasks in their dedicated queue.
     dedicated_nonempty: BTreeSet<MachineIx>,
     /// Tasks of the backlog may be placeable now: a machine takes queued tasks again, or the catalog or a
@@ -171,6 +173,28 @@
         self.quota_blocked.insert(ix);
     }
 
+    /// Records that the machine has queued tasks of the job that the job's zone rule keeps from starting there.
+    pub fn add_zone_blocked(&mut self, job: JobIx, ix: MachineIx) {
+        self.zone_blocked.entry(job).or_default().insert(ix);
+    }
+
+    /// Returns the machines on which the job's zone rule kept queued tasks from starting, ascending.
+    pub fn zone_blocked(&self, job: JobIx) -> impl Iterator<Item = MachineIx> {
+        self.zone_blocked.get(&job).into_iter().flatten().copied()
+    }
+
+    /// Marks the machine to be filled, because the job's zone rule allows its zone again.
+    pub fn wake_zone_blocked(&mut self, job: JobIx, ix: MachineIx) {
+        if self.zone_blocked.get_mut(&job).is_some_and(|machines| machines.remove(&ix)) {
+            self.to_fill.insert(ix);
+        }
+    }
+
+    /// Removes a job that is no longer in the workload.
+    pub fn remove_job(&mut self, job: JobIx) {
+        self.zone_blocked.remove(&job);
+    }
+
     /// Records that tasks were added to the machine's dedicated queue.
     pub fn mark_dedicated_nonempty(&mut self, ix: MachineIx) {
         self.dedicated_nonempty.insert(ix);
--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::coordination::leader::placement::queues::{Queue, QueueKind};
 use crate::coordination::leader::placement::reserved_machines::GangDemandByType;
 use crate::coordination::leader::placement::steal::QueuedTask;
-use crate::ids::{MachineIx, Resources};
+use crate::ids::{JobIx, MachineIx, Resources};
 
 /// Maximum number of steal attempts of one machine within one pass.
 const MAX_STEALS_PER_PASS: usize = 4;
@@ -31,6 +31,8 @@
     /// At least one examined job could start on this machine, but a cluster-wide limit or a preempting job keeps it
     /// from starting.
     pub(super) any_limited: bool,
+    /// The examined jobs whose zone rules keep their tasks from starting on this machine.
+    pub(super) zone_blocked: Vec<JobIx>,
 }
 
 impl Leader {
@@ -127,6 +129,7 @@
             if first.any_limited {
                 self.cluster.placement_index.add_quota_blocked(machine_ix);
             }
+            self.record_zone_blocked(machine_ix, &first.zone_blocked);
             return false;
         };
         let earlier = match kind {
@@ -152,6 +155,7 @@
     ) -> FirstStartable {
         let present = self.placement.priority_inputs.present;
         let mut any_limited = false;
+        let mut zone_blocked = Vec::new();
         let mut first: Option<QueueOrder> = None;
         for rank in queue.ranks() {
             // Stops early in long queues: no later rank can come before the job that was found.
@@ -165,9 +169,10 @@
             match self.check_start(machine_ix, free, rank.job) {
                 StartCheck::Allowed => first = Some(order),
                 StartCheck::Limited => any_limited = true,
+                StartCheck::ZoneBlocked => zone_blocked.push(rank.job),
                 StartCheck::Blocked => {}
             }
         }
-        FirstStartable { order: first, any_limited }
+        FirstStartable { order: first, any_limited, zone_blocked }
     }
 }
--- a/src/coordination/leader/placement/eligibility.rs
+++ b/src/coordination/leader/placement/eligibility.rs
@@ -49,6 +49,8 @@
     Allowed,
     /// Only a cluster-wide limit, or yielding to jobs for which tasks are being stopped, keeps the task from starting.
     Limited,
+    /// The job's zone rule excludes the machine's zone. That changes when tasks of the job leave other machines.
+    ZoneBlocked,
     Blocked,
 }
 
@@ -103,19 +105,6 @@
         (self.best_effort_slots(job) == 0).then_some(PlacementBlocker::BestEffortLimit)
     }
 
-    /// Returns whether the job's zone rules allow this machine. They apply to all zones in which a task of the job may
-    /// still be.
-    pub(super) fn zone_rules_allow(&self, machine_ix: MachineIx, job: &JobState) -> bool {
-        let zone = self.cluster.machines[machine_ix.index()].zone;
-        // After a failover the records may name two zones, one of them stale. No zone is allowed until only one is
-        // left.
-        if job.spec.single_zone && job.tasks_per_zone.keys().any(|other| *other != zone) {
-            return false;
-        }
-        let tasks_in_zone = job.tasks_per_zone.get(&zone).copied().unwrap_or(0);
-        !job.spec.spread || tasks_in_zone < job.spec.tasks.div_ceil(2)
-    }
-
     /// Checks whether a queued task of this job may start now on this machine, whose free capacity is `free`.
     pub(super) fn check_start(&self, machine_ix: MachineIx, free: &Resources, job_ix: JobIx) -> StartCheck {
         let Some(job) = self.workload.jobs.get(&job_ix) else { return StartCheck::Blocked };
@@ -123,6 +112,7 @@
             None if self.yields_to_preemptor(job_ix, job) => StartCheck::Limited,
             None => StartCheck::Allowed,
             Some(blocker) if blocker.is_cluster_wide_limit() => StartCheck::Limited,
+            Some(PlacementBlocker::ZoneRule) => StartCheck::ZoneBlocked,
             Some(_) => StartCheck::Blocked,
         }
     }
--- a/src/coordination/leader/placement/mod.rs
+++ b/src/coordination/leader/placement/mod.rs
@@ -23,6 +23,7 @@
 mod steal;
 mod stop_tasks;
 mod team_quota;
+mod zone_rules;
 
 const MS_PER_S: f64 = 1000.0;
 /// Thousandths of a CPU in one CPU, and milliseconds in a second.
--- a/src/coordination/leader/records/bindings.rs
+++ b/src/coordination/leader/records/bindings.rs
@@ -40,19 +40,23 @@
         clock: Clock,
     ) -> Binding {
         let machine = &mut self.cluster.machines[ix.index()];
+        let zone = machine.zone;
         let binding = machine.bindings.swap_remove(index);
         machine.used = machine.used.saturating_sub(&binding.need);
         if machine.bindings.is_empty() {
             machine.idle_since = clock.now;
         }
         if let Some(state) = binding.job.and_then(|job| self.workload.jobs.get_mut(&job)) {
-            remove_placement(state, &binding, ix, machine.zone);
+            remove_placement(state, &binding, ix, zone);
         }
         decrement_count(&mut self.workload.placed_task_counts, &binding.task.job);
         self.release_usage(&binding);
         let start = TaskPlacement { machine: ix, task: binding.task, attempt: binding.attempt };
         self.assignment_log.remove_start(binding.log_segment, start);
         self.cluster.placement_index.mark_to_fill(ix);
+        if let Some(job) = binding.job {
+            self.on_task_left_zone(job, zone);
+        }
         binding
     }
 
