Placement: a machine whose queue is blocked by a zone rule steals

What callers saw: tasks of other jobs wait in the queue of a busy machine, for as long as the tasks there run, beside an idle machine that fits.

Cause: a machine may steal if its shared queue is empty or if a cluster-wide limit keeps all queued tasks from starting. Tasks that their job's zone rule blocks counted as startable work, so the machine neither started nor stole anything, and was no paused thief that resumes when tasks arrive.

Change: a zone rule counts like a limit, as it depends on tasks elsewhere and not on the machine. Tasks that lack free capacity on the machine still keep it from stealing.

--- a/src/coordination/leader/placement/dispatch.rs
+++ b/src/coordination/leader/placement/dispatch.rs
@@ -35,6 +35,14 @@
     pub(super) zone_blocked: Vec<JobIx>,
 }
 
+impl FirstStartable {
+    /// Returns whether no job may start, and at least one waits for a change elsewhere: a limit or its zone rule, not
+    /// the free capacity of this machine, keeps it from starting.
+    pub(super) fn waits_for_changes_elsewhere(&self) -> bool {
+        self.order.is_none() && (self.any_limited || !self.zone_blocked.is_empty())
+    }
+}
+
 impl Leader {
     /// Runs one placement pass.
     pub(in crate::coordination) fn place_tasks(&mut self, clock: Clock) {
--- a/src/coordination/leader/placement/steal.rs
+++ b/src/coordination/leader/placement/steal.rs
@@ -25,15 +25,14 @@
 
 impl Leader {
     /// Returns whether the machine may steal: its shared queue is empty, or it holds no task that may start and at
-    /// least one that only a limit keeps from starting. Without the second case, machines whose own queue held only
-    /// tasks of a team at its limit stayed idle while other queues were full.
+    /// least one that a limit or a zone rule keeps from starting. Without the second case, machines whose own queue
+    /// held only such tasks stayed idle while other queues were full.
     pub(super) fn has_nothing_to_start(&self, machine_ix: MachineIx) -> bool {
         let machine = &self.cluster.machines[machine_ix.index()];
         if machine.shared_queue.is_empty() {
             return true;
         }
-        let first = self.first_startable(&machine.shared_queue, machine_ix, &machine.free());
-        first.order.is_none() && first.any_limited
+        self.first_startable(&machine.shared_queue, machine_ix, &machine.free()).waits_for_changes_elsewhere()
     }
 
     /// Moves tasks to the thief's shared queue (DAWS): from a random sample of machines, chooses the shared queue with
