Placement: a failure moves the job's queued tasks off the machine

What callers saw: a task of an accepted job waits beside two idle machines, in a quiet cluster until the leader changes.

Cause: a job must not use a machine on which one of its tasks has failed until a task of it succeeds, but its other tasks stayed in that machine's queues. Those in the dedicated queue may not be stolen, so they could start nowhere, and when the exclusion was lifted, neither the machine nor the backlog was examined again.

Evidence: one dedicated task on the status line and no change of tasks_bound for 90 s after the retried task had succeeded elsewhere.

Change: a failure moves the job's queued tasks from the machine's queues to others or to the backlog. When exclusions are lifted, after a success or after failures on every machine, the job's backlog is queued, and thieves resume as for newly queued tasks.

Tests: excluded_machine_keeps_no_queue failed before ("until 90 done 2: the condition did not hold within 90 s") and passes now. exclusion_lifted_requeues_backlog passed before, as the tasks stayed in the queue; it fails if the backlog is not queued when exclusions are lifted ("until 20 done 1: the condition did not hold within 20 s").

--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -13,6 +13,7 @@
 use super::probation::Probation;
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::eligibility::PlacementBlocker;
+use crate::coordination::leader::placement::steal::THIEVES_RESUMED_PER_TASK;
 use crate::coordination::leader::{Binding, JobState, Leader};
 use crate::ids::{JobId, JobIx, MachineIx, Millis};
 
@@ -97,6 +98,7 @@
             job_state.failed_on.clear();
             let delay_ms = ERROR_RETRY_DELAY_MS * job_state.failure_backoff_factor();
             job_state.retry_exclusion_not_before = clock.now.saturating_add(delay_ms);
+            self.on_exclusions_lifted(ix);
         }
     }
 
@@ -130,6 +132,16 @@
         } else {
             self.record_machine_failure(ix, binding.task.job);
         }
+        self.requeue_job_from_machine(ix, job);
+    }
+
+    /// Handles that the job may use the machines again on which it had failed. Its tasks without an eligible machine
+    /// are queued, and thieves resume as if its waiting tasks had just been queued.
+    pub(super) fn on_exclusions_lifted(&mut self, job: JobIx) {
+        let Some(job_state) = self.workload.jobs.get(&job) else { return };
+        let (rank, waiting) = (job_state.rank, job_state.waiting_tasks() as usize);
+        self.enqueue_backlog_of(rank);
+        self.cluster.placement_index.resume_paused(THIEVES_RESUMED_PER_TASK * waiting);
     }
 
     /// Removes a job that is itself at fault from the failures of all machines, and ends the quarantine of
--- a/src/coordination/leader/placement/queue_assignment.rs
+++ b/src/coordination/leader/placement/queue_assignment.rs
@@ -211,16 +211,21 @@
     /// Moves the tasks of the backlog for which there is an eligible machine now to the machines' queues.
     pub(super) fn enqueue_backlog(&mut self) {
         for rank in self.placement.backlog.ranks().copied().collect::<Vec<Rank>>() {
-            let Some(job) = self.workload.jobs.get(&rank.job) else {
-                continue;
-            };
-            if !self.cluster.placement_index.queue_eligible().iter().any(|ix| self.is_eligible(*ix, job)) {
-                continue;
-            }
-            let mut tasks = Vec::new();
-            while let Some(task) = self.placement.backlog.pop(rank) {
-                tasks.push(task);
-            }
+            self.enqueue_backlog_of(rank);
+        }
+    }
+
+    /// Moves the job's tasks of the backlog to the machines' queues, if there is an eligible machine now.
+    pub(in crate::coordination::leader) fn enqueue_backlog_of(&mut self, rank: Rank) {
+        let Some(job) = self.workload.jobs.get(&rank.job) else { return };
+        if !self.cluster.placement_index.queue_eligible().iter().any(|ix| self.is_eligible(*ix, job)) {
+            return;
+        }
+        let mut tasks = Vec::new();
+        while let Some(task) = self.placement.backlog.pop(rank) {
+            tasks.push(task);
+        }
+        if !tasks.is_empty() {
             self.enqueue(rank.job, &tasks);
         }
     }
--- a/src/coordination/leader/placement/steal.rs
+++ b/src/coordination/leader/placement/steal.rs
@@ -12,7 +12,7 @@
 use crate::protocol::operators::JobEventKind;
 
 /// Number of paused thieves that resume for each task that joins a queue.
-pub(super) const THIEVES_RESUMED_PER_TASK: usize = 2;
+pub(in crate::coordination::leader) const THIEVES_RESUMED_PER_TASK: usize = 2;
 /// Factor by which the backoff grows after each failed steal.
 const BACKOFF_FACTOR: f64 = 2.0;
 
--- a/src/coordination/leader/records/requeue.rs
+++ b/src/coordination/leader/records/requeue.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::coordination::Clock;
+use crate::coordination::leader::placement::policy::Rank;
 use crate::coordination::leader::{Binding, JobState, Leader};
 use crate::ids::{JobIx, MachineIx};
 
@@ -53,6 +54,18 @@
         let machine = &mut self.cluster.machines[ix.index()];
         let mut tasks = machine.shared_queue.drain();
         tasks.extend(machine.dedicated_queue.drain());
+        self.enqueue_moved(tasks);
+    }
+
+    /// Moves the queued tasks of a job from a machine that may not run them any more to other queues.
+    pub(in crate::coordination::leader) fn requeue_job_from_machine(&mut self, ix: MachineIx, job: JobIx) {
+        let machine = &mut self.cluster.machines[ix.index()];
+        let mut tasks = machine.shared_queue.take_from_back(usize::MAX, |queued| queued == job);
+        tasks.extend(machine.dedicated_queue.take_from_back(usize::MAX, |queued| queued == job));
+        self.enqueue_moved(tasks);
+    }
+
+    fn enqueue_moved(&mut self, tasks: Vec<(Rank, u32)>) {
         let mut by_job: BTreeMap<JobIx, Vec<u32>> = BTreeMap::new();
         for (rank, task) in tasks {
             by_job.entry(rank.job).or_default().push(task);
