Placement: a machine that stops accepting queued tasks keeps none

What callers saw: queued tasks wait until the last running task of a slow machine has ended, beside an idle machine that fits.

Cause: every event after which a machine takes no queued tasks moved its queues by a call of its own. The one that marks a machine as slow had no such call, and thieves sample only machines that accept queued tasks.

A slow machine is never used again, so there is no event "no longer slow": it is returned, and its capacity is rented anew.

--- a/src/coordination/leader/machines/capacity_plan/mod.rs
+++ b/src/coordination/leader/machines/capacity_plan/mod.rs
@@ -79,9 +79,6 @@
             }
             self.cluster.machines[ix.index()].cordoned = cordoned;
             self.refresh_placement_index(ix);
-            if cordoned {
-                self.requeue_machine_queues(ix);
-            }
         }
     }
 
--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -163,7 +163,6 @@
         let machine = &mut self.cluster.machines[ix.index()];
         log::info!(event = "quarantined", machine = machine.name.as_str(); "machine {} quarantined: tasks of several jobs failed on it", machine.name);
         machine.quarantined = true;
-        self.requeue_machine_queues(ix);
     }
 
     /// Returns whether enough different jobs have failed on the machine since a task last succeeded on it.
--- a/src/coordination/leader/machines/liveness.rs
+++ b/src/coordination/leader/machines/liveness.rs
@@ -136,7 +136,6 @@
             let name = machine.name.as_str();
             log::info!(event = "receive_path_down", machine = name; "receive path down: machine {name} sends heartbeats, commands do not arrive");
             self.refresh_placement_index(ix);
-            self.requeue_machine_queues(ix);
             self.cluster.pending_direct_messages.insert(ix);
         }
     }
@@ -162,6 +161,5 @@
         machine.idle_since = clock.now;
         self.refresh_placement_index(ix);
         self.remove_all_bindings(ix, clock);
-        self.requeue_machine_queues(ix);
     }
 }
--- a/src/coordination/leader/machines/provisioner/scale_in.rs
+++ b/src/coordination/leader/machines/provisioner/scale_in.rs
@@ -142,7 +142,6 @@
         self.assignment_log.remove_return(ix, segment);
         self.refresh_placement_index(ix);
         self.remove_all_bindings(ix, clock);
-        self.requeue_machine_queues(ix);
         self.forget_images(ix);
     }
 }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -123,16 +123,22 @@
         leader
     }
 
-    /// Updates the placement index after a change that may affect whether the machine accepts tasks.
+    /// Updates the placement index after a change that may affect whether the machine accepts tasks. If it has stopped
+    /// accepting queued tasks, those in its queues move to other queues: nothing on this machine would start them, and
+    /// no other machine steals from it.
     pub fn refresh_placement_index(&mut self, ix: MachineIx) {
         let machine = &self.cluster.machines[ix.index()];
         let accepts_queued = !machine.cordoned && !machine.reserved;
+        let accepted_before = self.cluster.placement_index.accepts_queued(ix);
         self.cluster.placement_index.update(
             ix,
             (machine.machine_type, machine.zone),
             machine.is_schedulable(),
             accepts_queued,
         );
+        if accepted_before && !self.cluster.placement_index.accepts_queued(ix) {
+            self.requeue_machine_queues(ix);
+        }
     }
 
     /// Begins the return of a machine to the cloud. Its queued tasks move to other queues. The machine is released once
@@ -140,7 +146,6 @@
     pub fn return_machine(&mut self, ix: MachineIx) {
         self.cluster.machines[ix.index()].returning = true;
         self.refresh_placement_index(ix);
-        self.requeue_machine_queues(ix);
         self.assignment_log.queue_return(ix);
     }
 }
--- a/src/coordination/leader/placement/reserved_machines.rs
+++ b/src/coordination/leader/placement/reserved_machines.rs
@@ -114,7 +114,6 @@
         self.refresh_placement_index(machine_ix);
         if reserved {
             self.placement.reserved_machines.insert(machine_ix);
-            self.requeue_machine_queues(machine_ix);
         } else {
             self.placement.reserved_machines.remove(&machine_ix);
         }
--- a/src/coordination/leader/placement/stop_tasks.rs
+++ b/src/coordination/leader/placement/stop_tasks.rs
@@ -66,8 +66,7 @@
     }
 
     /// Handles the notice that the cloud will reclaim the machine in `notice_ms`: stops tasks that can save a
-    /// checkpoint by then and tasks whose start has not been sent yet, and moves the machine's queued tasks to other
-    /// machines.
+    /// checkpoint by then and tasks whose start has not been sent yet.
     pub(in crate::coordination::leader) fn on_interruption_notice(
         &mut self,
         machine_ix: MachineIx,
@@ -82,7 +81,6 @@
                 self.stop_task(machine_ix, binding_index, JobEventKind::StoppedForDrain);
             }
         }
-        self.requeue_machine_queues(machine_ix);
     }
 }
 
