Commands: repeat a lost start together with its stop

The capacity and the quota of the lost task stay in use while the worker's lease is renewed.

Cause: a direct start without a response may still arrive minutes later, so its task stays bound to the machine until the start is repeated. A task that was to be stopped before that got stop commands only. A worker that never received the start ignores them, and heartbeats without the task prove nothing while the start may arrive. So the binding stayed for the rest of the worker's epoch.

Evidence: a debug line for a task that is to be stopped, is not on the machine, and may still be started by a late command.

Change: the lost start is sent again right before the stop, in one message. If the worker has the attempt, the start has no effect; if not, the attempt ends at once. The next heartbeat shows it as exited, and as it is not forgotten in this epoch, a start that arrives later has no effect either. A task of a cancelled job is not started: its machine's lease is not renewed after the cancellation deadline, which frees it within cancel_s.

--- a/src/coordination/leader/machines/commands.rs
+++ b/src/coordination/leader/machines/commands.rs
@@ -22,6 +22,8 @@
 const MAX_ANNOUNCEMENTS_UNDER_PRESSURE: u64 = 1;
 /// The maximum number of commands in one message.
 const MAX_COMMANDS: usize = 400;
+/// The maximum number of commands for one task in a message: a start and a stop.
+const MAX_COMMANDS_PER_TASK: usize = 2;
 
 /// A direct message to a worker.
 #[derive(Debug)]
@@ -69,18 +71,23 @@
             Some(sequence) => DispatchState::SentInResponse { sequence },
             None => DispatchState::SentDirect,
         };
-        let bindings = &mut self.cluster.machines[ix.index()].bindings;
-        let due = bindings.iter_mut().filter_map(|binding| {
-            if binding.stop_grace_ms.is_some() {
-                take_due_stop(binding, clock.now)
-            } else if binding.dispatch == DispatchState::Recorded && may_start {
+        let mut commands = Vec::new();
+        for binding in &mut self.cluster.machines[ix.index()].bindings {
+            // A repeated start must not be sent without the stop that follows it.
+            if commands.len() + MAX_COMMANDS_PER_TASK > MAX_COMMANDS {
+                break;
+            }
+            if may_start && is_start_due(binding) {
                 binding.dispatch = dispatched;
-                Some(WorkerCommand::Run { task: binding.task, attempt: binding.attempt })
-            } else {
-                None
+                commands.push(WorkerCommand::Run { task: binding.task, attempt: binding.attempt });
+                if binding.stop_grace_ms.is_some() {
+                    log::debug!("repeating the lost start of task {} together with its stop", binding.task);
+                    binding.stop_sent_at = None;
+                }
             }
-        });
-        due.take(MAX_COMMANDS).collect()
+            commands.extend(take_due_stop(binding, clock.now));
+        }
+        commands
     }
 
     /// Returns the direct messages that are due, and marks them as in flight.
@@ -190,6 +197,20 @@
     }
 }
 
+/// Returns whether the start command of a binding is to be sent.
+///
+/// A task that is to be stopped is started only to resolve a direct start whose outcome is unknown and that may still
+/// reach the worker: a start has no effect on a worker that has the attempt already, exited or not, and the stop that
+/// follows it in the same message ends the task at once. Then the worker reports the attempt as exited, and no late
+/// start can revive it. Without the repeated start, a worker that never received the first one would ignore the stop, and
+/// the task would count as placed until the worker's epoch ends. No task of a cancelled job is started; for those, the
+/// machine's lease is no longer renewed.
+fn is_start_due(binding: &Binding) -> bool {
+    let is_to_run = binding.stop_grace_ms.is_none();
+    let resolves_late_start = binding.late_start_possible && binding.job.is_some();
+    binding.dispatch == DispatchState::Recorded && (is_to_run || resolves_late_start)
+}
+
 /// Returns the stop command of a binding if it is due. It is not sent again while the task saves a checkpoint
 /// within a grace period.
 fn take_due_stop(binding: &mut Binding, now: Millis) -> Option<WorkerCommand> {
--- a/src/coordination/leader/machines/reconcile.rs
+++ b/src/coordination/leader/machines/reconcile.rs
@@ -38,6 +38,7 @@
             let action = if reported.contains(&(binding.task, binding.attempt)) {
                 MissingTaskAction::Keep
             } else {
+                log_unresolved_stop(binding, &heartbeat.machine);
                 missing_task_action(binding, heartbeat.sequence, receive_path_down)
             };
             match action {
@@ -123,6 +124,16 @@
     }
 }
 
+/// Logs a task that is to be stopped and is not on the machine, but that a lost start command may still start there.
+fn log_unresolved_stop(binding: &Binding, machine: &str) {
+    if binding.stop_grace_ms.is_some() && binding.late_start_possible {
+        let Binding { task, dispatch, .. } = binding;
+        log::debug!(
+            "task {task} is to be stopped and is not on machine {machine}, but its start may arrive late ({dispatch:?})"
+        );
+    }
+}
+
 /// Returns what to do with a binding whose task is missing from the heartbeat with this sequence number.
 fn missing_task_action(binding: &Binding, sequence: u64, receive_path_down: bool) -> MissingTaskAction {
     match binding.dispatch {
--- a/tests/simulation/conditions.rs
+++ b/tests/simulation/conditions.rs
@@ -95,6 +95,12 @@
                     .count();
                 compare(count as u64, op, right)
             }
+            // How many attempts of the job the workers have received, including those that have exited.
+            ["attempts", id, op, right] => {
+                let id = job_name(id);
+                let attempts = self.workers.iter().flat_map(|worker| &worker.attempts);
+                compare(attempts.filter(|attempt| attempt.job_name() == id).count() as u64, op, right)
+            }
             _ => return None,
         })
     }
