Placement: one function resumes thieves for tasks

Change: resume_thieves in the module steal; its constant is private again. The top comment of the placement index is wrapped like the rest of the file.

--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -13,7 +13,6 @@
 use super::probation::Probation;
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::eligibility::PlacementBlocker;
-use crate::coordination::leader::placement::steal::THIEVES_RESUMED_PER_TASK;
 use crate::coordination::leader::{Binding, JobState, Leader};
 use crate::ids::{JobId, JobIx, MachineIx, Millis};
 
@@ -141,7 +140,7 @@
         let Some(job_state) = self.workload.jobs.get(&job) else { return };
         let (rank, waiting) = (job_state.rank, job_state.waiting_tasks() as usize);
         self.enqueue_backlog_of(rank);
-        self.cluster.placement_index.resume_paused(THIEVES_RESUMED_PER_TASK * waiting);
+        self.resume_thieves(waiting);
     }
 
     /// Removes a job that is itself at fault from the failures of all machines, and ends the quarantine of
--- a/src/coordination/leader/machines/placement_index.rs
+++ b/src/coordination/leader/machines/placement_index.rs
@@ -1,8 +1,8 @@
 //! Index of the machines that placement has to examine: only those on which something changed.
 //!
 //! Owns the sets of schedulable machines, by type and zone, and the sets of machines that are to be filled
-//! with queued tasks, that are in backoff, or that are blocked by a quota or a zone rule. Whether a machine is schedulable
-//! is decided elsewhere and passed to `PlacementIndex::update`.
+//! with queued tasks, that are in backoff, or that are blocked by a quota or a zone rule. Whether a machine
+//! is schedulable is decided elsewhere and passed to `PlacementIndex::update`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/src/coordination/leader/placement/mod.rs
+++ b/src/coordination/leader/placement/mod.rs
@@ -20,7 +20,7 @@
 mod reserved_machines;
 mod spill;
 pub mod state;
-pub(in crate::coordination::leader) mod steal;
+mod steal;
 mod stop_tasks;
 mod team_quota;
 mod zone_rules;
--- a/src/coordination/leader/placement/queue_assignment.rs
+++ b/src/coordination/leader/placement/queue_assignment.rs
@@ -12,7 +12,6 @@
 
 use crate::coordination::leader::placement::MS_PER_S;
 use crate::coordination::leader::placement::policy::Rank;
-use crate::coordination::leader::placement::steal::THIEVES_RESUMED_PER_TASK;
 use crate::coordination::leader::{JobState, Leader};
 use crate::ids::{JobIx, MachineIx};
 use crate::protocol::operators::JobEventKind;
@@ -79,8 +78,8 @@
             self.enqueue_dedicated(rank, tasks, &holders);
         }
         // Idle thieves pause until tasks arrive (DAWS). Some of them resume for each task that arrives.
-        let resumed = THIEVES_RESUMED_PER_TASK * tasks.len() + EXTRA_THIEVES_RESUMED;
-        self.cluster.placement_index.resume_paused(resumed);
+        self.resume_thieves(tasks.len());
+        self.cluster.placement_index.resume_paused(EXTRA_THIEVES_RESUMED);
     }
 
     /// Returns the eligible machines that have the job's image, followed by those that have only its inputs.
--- a/src/coordination/leader/placement/spill.rs
+++ b/src/coordination/leader/placement/spill.rs
@@ -3,7 +3,6 @@
 
 use crate::coordination::Clock;
 use crate::coordination::leader::Leader;
-use crate::coordination::leader::placement::steal::THIEVES_RESUMED_PER_TASK;
 use crate::coordination::leader::placement::{MAX_EXPECTED_SLOTS, MS_PER_S};
 use crate::ids::MachineIx;
 use crate::protocol::operators::JobEventKind;
@@ -45,7 +44,7 @@
         self.log_moved(&spilled, JobEventKind::Spilled, machine_ix);
         self.counters.spilled_tasks += spilled.len() as u64;
         self.cluster.placement_index.mark_to_fill(machine_ix);
-        self.cluster.placement_index.resume_paused(THIEVES_RESUMED_PER_TASK * spilled.len());
+        self.resume_thieves(spilled.len());
     }
 
     /// Returns the machine's throughput in tasks per second, measured over the tasks finished within the window. If
--- a/src/coordination/leader/placement/steal.rs
+++ b/src/coordination/leader/placement/steal.rs
@@ -12,7 +12,7 @@
 use crate::protocol::operators::JobEventKind;
 
 /// Number of paused thieves that resume for each task that joins a queue.
-pub(in crate::coordination::leader) const THIEVES_RESUMED_PER_TASK: usize = 2;
+const THIEVES_RESUMED_PER_TASK: usize = 2;
 /// Factor by which the backoff grows after each failed steal.
 const BACKOFF_FACTOR: f64 = 2.0;
 
@@ -24,6 +24,11 @@
 }
 
 impl Leader {
+    /// Lets some paused thieves steal again for each of `tasks` that have joined a queue or may start on more machines.
+    pub(in crate::coordination::leader) fn resume_thieves(&mut self, tasks: usize) {
+        self.cluster.placement_index.resume_paused(THIEVES_RESUMED_PER_TASK * tasks);
+    }
+
     /// Returns whether the machine may steal: its shared queue is empty, or it holds no task that may start and at
     /// least one that a limit or a zone rule keeps from starting. Without the second case, machines whose own queue
     /// held only such tasks stayed idle while other queues were full.
--- a/src/coordination/leader/placement/zone_rules.rs
+++ b/src/coordination/leader/placement/zone_rules.rs
@@ -5,7 +5,6 @@
 //! changes on the machine itself.
 
 use crate::bookkeeping::jobs::JobSpec;
-use crate::coordination::leader::placement::steal::THIEVES_RESUMED_PER_TASK;
 use crate::coordination::leader::{JobState, Leader};
 use crate::ids::{JobIx, MachineIx, ZoneIx};
 
@@ -67,7 +66,7 @@
         for machine_ix in allowed {
             self.cluster.placement_index.wake_zone_blocked(job_ix, machine_ix);
         }
-        self.cluster.placement_index.resume_paused(THIEVES_RESUMED_PER_TASK * starts_allowed);
+        self.resume_thieves(starts_allowed);
     }
 
     /// Records that the zone rules of these jobs keep their queued tasks from starting on the machine.
