--- a/src/coordination/leader/cluster.rs
+++ b/src/coordination/leader/cluster.rs
@@ -15,13 +15,21 @@
 /// A machine type of the cloud's catalog, with its measured image fetch rate.
 #[derive(Debug, Clone)]
 pub struct MachineType {
+    /// The type's name in the catalog.
     pub name: String,
+    /// Resources of an empty machine.
     pub capacity: Resources,
+    /// Size of the image cache in MB.
     pub image_cache_mb: u64,
+    /// Measured or estimated rate of an image fetch, in MB/s.
     pub fetch_mb_per_s: f64,
+    /// Price of an on-demand machine per hour.
     pub price: f64,
+    /// Price of a spot machine per hour. `None` if there are none.
     pub spot_price: Option<f64>,
+    /// Published boot time in milliseconds.
     pub boot_ms: u64,
+    /// Zones in which machines of the type can be requested.
     pub zones: Vec<ZoneIx>,
 }
 
--- a/src/coordination/leader/counters.rs
+++ b/src/coordination/leader/counters.rs
@@ -3,12 +3,19 @@
 /// Counters since the term began.
 #[derive(Debug, Default)]
 pub struct Counters {
+    /// Tasks that joined a shared queue.
     pub queued_shared: u64,
+    /// Tasks that joined a dedicated queue.
     pub queued_dedicated: u64,
+    /// Successful steals.
     pub steals: u64,
+    /// Tasks that moved to or started on another machine than the one whose shared queue held them.
     pub stolen_tasks: u64,
+    /// Tasks that moved from a dedicated queue to the machine's shared queue.
     pub spilled_tasks: u64,
+    /// Tasks stopped for other jobs.
     pub preempted_tasks: u64,
+    /// Machines whose worker's lease expired.
     pub machines_lost: u64,
     /// Tasks bound to machines.
     pub tasks_bound: u64,
--- a/src/coordination/leader/machine.rs
+++ b/src/coordination/leader/machine.rs
@@ -31,12 +31,17 @@
 /// A machine with the state of its worker, its queues and the tasks that may be on it.
 #[derive(Debug)]
 pub struct Machine {
+    /// Name given by the cloud.
     pub name: String,
     /// Address at which its worker listens, `ip:port`. Empty if it is not known yet.
     pub endpoint: String,
+    /// Type in the catalog.
     pub machine_type: MachineTypeIx,
+    /// Zone of the machine.
     pub zone: ZoneIx,
+    /// Whether the cloud may reclaim it.
     pub spot: bool,
+    /// Lifecycle state.
     pub state: MachineState,
     /// The cloud has listed it as running. Without a heartbeat, its worker may still be looking for this leader.
     pub cloud_running: bool,
@@ -73,6 +78,7 @@
     pub bindings: Vec<Binding>,
     /// Sum of the resources that `bindings` need.
     pub used: Resources,
+    /// Resources of the machine when it is empty.
     pub capacity: Resources,
     /// Tasks that other machines may steal (DAWS, section 2.2.2).
     pub shared_queue: Queue,
@@ -80,6 +86,7 @@
     pub dedicated_queue: Queue,
     /// Backoff after the next failed steal, in milliseconds; doubles with each failure (DAWS, section 2.2.1).
     pub steal_backoff_ms: f64,
+    /// Earliest time of its next steal.
     pub steal_not_before: Millis,
     /// Reservation for a gang that waits for capacity on this machine.
     pub hold: Option<gangs::Hold>,
@@ -87,10 +94,12 @@
     pub images: Vec<(ImageIx, u64)>,
     /// A direct message to it is in flight.
     pub direct_send_in_flight: bool,
+    /// Earliest time of the next direct message to it.
     pub direct_send_not_before: Millis,
     /// Attempts whose direct start command may still arrive late. In this epoch the worker is not told to forget them
     /// once they have exited, so that it does not start them again.
     pub late_starts: HashSet<(TaskId, Attempt)>,
+    /// When its last binding was removed, or when it came up or was lost.
     pub idle_since: Millis,
     /// Jobs with tasks that failed on it since a task last succeeded on it.
     pub failed_jobs: BTreeSet<JobId>,
@@ -121,11 +130,15 @@
 /// the leader.
 #[derive(Debug, Clone, Copy)]
 pub struct MachineIdentity<'a> {
+    /// Name given by the cloud.
     pub name: &'a str,
     /// Address at which its worker listens, `ip:port`. Empty if it is not known yet.
     pub endpoint: &'a str,
+    /// Type in the catalog.
     pub machine_type: MachineTypeIx,
+    /// Zone of the machine.
     pub zone: ZoneIx,
+    /// Whether the cloud may reclaim it.
     pub spot: bool,
 }
 
--- a/src/coordination/leader/machines/commands.rs
+++ b/src/coordination/leader/machines/commands.rs
@@ -28,6 +28,7 @@
 /// A direct message to a worker.
 #[derive(Debug)]
 pub struct DirectMessage {
+    /// The machine to whose worker the message goes.
     pub machine: MachineIx,
     /// The worker epoch for which the message is meant; 0 if it is not known yet.
     pub epoch: WorkerEpoch,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -7,6 +7,8 @@
 //! the time, and returns actions. After a failover its state is rebuilt from the records, except measurements and
 //! observations (measured rates, failures of jobs and machines).
 
+#![warn(missing_docs)]
+
 mod binding;
 pub mod cancellation;
 pub mod cluster;
@@ -57,6 +59,7 @@
 pub struct Leader {
     pub(super) term: LeaderTerm,
     pub(super) cluster: ClusterState,
+    /// The unfinished jobs.
     pub workload: Workload,
     pub(super) quotas: TeamQuotas,
     slos: ClassObjectives,
@@ -67,6 +70,7 @@
     writer: StoreWriter,
     /// The durable record of which tasks may be on which machines.
     assignment_log: AssignmentLog,
+    /// Counters of the term.
     pub counters: Counters,
     /// The latest events of each job, for operators.
     pub(super) event_log: EventLog,
--- a/src/coordination/leader/workload.rs
+++ b/src/coordination/leader/workload.rs
@@ -28,7 +28,9 @@
 /// A job, with what the leader knows about its tasks beyond the durable records.
 #[derive(Debug)]
 pub struct JobState {
+    /// The job as submitted.
     pub spec: Arc<JobSpec>,
+    /// The fixed part of the job's position in the order of service.
     pub rank: Rank,
     /// Finished tasks, including those whose record is not durable yet.
     pub finished: BitSet,
@@ -50,6 +52,7 @@
     pub probation: Option<Probation>,
     /// The job's terminal record is queued or being written.
     pub finishing: bool,
+    /// When a task of the job first ran.
     pub first_run: FirstRun,
     /// Set if the job is a node of a DAG run.
     pub dag_node: Option<Box<DagNodeState>>,
