--- a/tests/simulation/actions/faults.rs
+++ b/tests/simulation/actions/faults.rs
@@ -98,15 +98,6 @@
         Ok(())
     }
 
-    pub(super) fn set_direct_commands(&mut self, words: &[&str]) -> ActionResult {
-        self.direct_commands_held = match words {
-            ["held"] => true,
-            ["normal"] => false,
-            _ => return usage_error("held or normal"),
-        };
-        Ok(())
-    }
-
     pub(super) fn set_txn_mode(&mut self, words: &[&str]) -> ActionResult {
         (self.txn_mode, self.faults.txn_delay_ms) = match words {
             ["response-lost"] => (TxnMode::ResponseLost, None),
@@ -133,9 +124,7 @@
         for body in std::mem::take(&mut self.held_txns) {
             self.kv_store.handle_request("POST", "/txn", &body, self.now);
         }
-        for (worker, body) in std::mem::take(&mut self.held_commands) {
-            self.workers[worker].handle_direct_command(&body, self.now, &self.jobs);
-        }
+        self.deliver_held_commands();
         for (to, sender, message) in std::mem::take(&mut self.held_peer_messages) {
             self.send_event(to, Event::Peer { controller: sender, message });
         }
@@ -145,7 +134,7 @@
     /// Drops the transactions, commands and messages between controllers that were held.
     pub(super) fn drop_held(&mut self, _: &[&str]) -> ActionResult {
         self.held_txns.clear();
-        self.held_commands.clear();
+        self.direct_commands.drop_held();
         self.held_peer_messages.clear();
         Ok(())
     }
--- a/tests/simulation/conditions.rs
+++ b/tests/simulation/conditions.rs
@@ -95,6 +95,10 @@
                     .count();
                 compare(count as u64, op, right)
             }
+            // How many tasks of the job have started so far, repeated starts included.
+            ["starts", id, op, right] => {
+                compare(self.start_counts.get(&job_name(id)).copied().unwrap_or(0), op, right)
+            }
             // How many attempts of the job the workers have received, including those that have exited.
             ["attempts", id, op, right] => {
                 let id = job_name(id);
--- a/tests/simulation/deliveries.rs
+++ b/tests/simulation/deliveries.rs
@@ -34,7 +34,7 @@
     HttpOutcome::Response { status: 503, body: body.to_vec() }
 }
 
-fn response(status: u16, body: &Value) -> HttpOutcome {
+pub(super) fn response(status: u16, body: &Value) -> HttpOutcome {
     HttpOutcome::Response { status, body: body.to_string().into_bytes() }
 }
 
@@ -107,23 +107,6 @@
         response(status, &body)
     }
 
-    /// Sends direct commands to the worker at the endpoint, and returns the outcome as the controller sees it.
-    fn worker_outcome(&mut self, from: usize, endpoint: &str, request: &HttpRequest) -> HttpOutcome {
-        let worker = self.workers.iter().position(|worker| worker.machine.endpoint == endpoint);
-        let reachable =
-            |worker: &usize| self.can_reach(from, *worker) && !self.is_cut(from, "direct-commands");
-        let Some(worker) = worker.filter(reachable) else { return HttpOutcome::NotSent };
-        if self.faults.receive_path_down.contains(&self.workers[worker].machine.name) {
-            return HttpOutcome::Unknown;
-        }
-        if self.direct_commands_held {
-            self.held_commands.push((worker, request.body.clone()));
-            return HttpOutcome::Unknown;
-        }
-        let (status, body) = self.workers[worker].handle_direct_command(&request.body, self.now, &self.jobs);
-        response(status, &body)
-    }
-
     fn send_peer_message(&mut self, from: usize, controller: &str, message: PeerMessage) {
         let Some(to) = self.controllers.iter().position(|slot| slot.name == controller) else { return };
         let partitioned = self.are_zones_cut(&self.controllers[from].zone, &self.controllers[to].zone);
--- a/tests/simulation/invariants.rs
+++ b/tests/simulation/invariants.rs
@@ -23,6 +23,7 @@
             let job = task.split('/').next().unwrap_or("").to_string();
             self.first_start.entry(job.clone()).or_insert(self.now);
             self.last_start.insert(job.clone(), self.now);
+            *self.start_counts.entry(job.clone()).or_default() += 1;
             self.faults.started_after_cancel += u64::from(self.cancelled.contains_key(&job));
             self.violations.extend(self.dag_runs.find_early_start(&job, &self.kv_store));
             self.check_placement(worker_index, &job, &task);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -14,6 +14,7 @@
 mod controllers;
 pub mod dag_runs;
 mod deliveries;
+mod direct_commands;
 mod event_queue;
 mod fault_injection;
 mod graph_actions;
@@ -35,6 +36,7 @@
 pub use controllers::{ControllerSlot, EventHandlingTime};
 use dag_runs::DagRuns;
 use deliveries::{PeerMessageMode, TxnMode};
+use direct_commands::DirectCommands;
 use fault_injection::Faults;
 use job_arguments::{JobArguments, named_argument, numeric_argument};
 use job_stream::JobStream;
@@ -99,12 +101,10 @@
     zone_cuts: HashSet<(String, String)>,
     /// Events that a controller can handle per second, in units of one heartbeat; `None` for no limit.
     controller_capacity: Option<f64>,
-    /// Whether direct commands are held instead of delivered, and get no response.
-    direct_commands_held: bool,
+    /// How direct commands are delivered, and those that arrive later.
+    direct_commands: DirectCommands,
     /// Whether responses to polls for changes are longer than a controller accepts.
     change_responses_too_large: bool,
-    /// Held direct commands: worker and body.
-    held_commands: Vec<(usize, Vec<u8>)>,
     txn_mode: TxnMode,
     /// Bodies of held transactions.
     held_txns: Vec<Vec<u8>>,
@@ -129,6 +129,8 @@
     pub first_start: BTreeMap<String, u64>,
     /// When the latest task of each job got its image.
     last_start: BTreeMap<String, u64>,
+    /// How many tasks of each job have started so far, repeated starts included.
+    start_counts: BTreeMap<String, u64>,
     /// Final states that users knew when an operator's query was sent, by the controller's index and the query's
     /// number. The response must not contradict them.
     final_states_at_request: BTreeMap<(usize, u64), BTreeMap<String, String>>,
@@ -176,9 +178,8 @@
             violations: Vec::new(),
             zone_cuts: HashSet::new(),
             controller_capacity: None,
-            direct_commands_held: false,
+            direct_commands: DirectCommands::default(),
             change_responses_too_large: false,
-            held_commands: Vec::new(),
             txn_mode: TxnMode::Normal,
             held_txns: Vec::new(),
             faults: Faults::default(),
@@ -196,6 +197,7 @@
             kv_mutations: 0,
             first_start: BTreeMap::new(),
             last_start: BTreeMap::new(),
+            start_counts: BTreeMap::new(),
             final_states_at_request: BTreeMap::new(),
             trace: Trace::default(),
         }
@@ -210,6 +212,7 @@
     pub fn step(&mut self) {
         self.now += STEP_MS;
         self.deliver_delayed();
+        self.deliver_command_copies();
         self.send_graph_requests();
         self.send_operator_queries();
         self.step_config();
