Logs and counters that tell why a task is on two machines

Change: fields and text for the beginning and end of a term (token, revision, duration); one info line when tasks are on record on several machines; the orphan line names the attempt, the token that issued it and the places where the task is expected; debug lines for each command (attempt, token, epoch, path), for what was known of an attempt when a report lists it, and for a heartbeat that is a copy. No behaviour is changed.

--- a/src/coordination/controller/kv_replies.rs
+++ b/src/coordination/controller/kv_replies.rs
@@ -48,7 +48,8 @@
         if is_complete {
             self.config_requests.record_full_read(clock.now);
             self.state.cache.remove_orphaned_terminal_records();
-            log::info!("records read up to revision {}", self.state.cache.revision.0);
+            let revision = self.state.cache.revision.0;
+            log::info!(event = "records_read", revision; "records read up to revision {revision}");
         }
     }
 
--- a/src/coordination/controller/leadership.rs
+++ b/src/coordination/controller/leadership.rs
@@ -80,12 +80,14 @@
             Clock { now: at.max(clock.now), ..clock },
         );
         log::info!(
-            event = "became_leader", token = token.0;
-            "leader with fencing token {}: {} jobs, {} machines on record",
+            event = "became_leader", token = token.0, revision = self.state.cache.revision.0;
+            "leader with fencing token {}: {} jobs, {} machines on record, read up to revision {}",
             token.0,
             leader.workload.jobs.len(),
-            leader.cluster.machines.len()
+            leader.cluster.machines.len(),
+            self.state.cache.revision.0
         );
+        leader.log_tasks_in_several_places();
         self.state.leader = Some(leader);
         self.leaderships_started += 1;
         self.peers.clear_misdirected();
@@ -138,8 +140,13 @@
 
     /// Stops leading. This does not revoke the lease: the caller revokes it, or it expires.
     pub(super) fn step_down(&mut self) {
-        if self.state.leader.take().is_some() {
-            log::info!("stepped down");
+        if let Some(leader) = self.state.leader.take() {
+            let token = leader.term.token().0;
+            let led_ms = self.now.saturating_since(leader.term.acquired_at());
+            log::info!(
+                event = "stepped_down", token, led_ms;
+                "stepped down: led with fencing token {token} for {led_ms} ms"
+            );
         }
         self.acquired_leadership = None;
         self.direct_commands.clear();
--- a/src/coordination/leader/counters.rs
+++ b/src/coordination/leader/counters.rs
@@ -25,6 +25,10 @@
     pub zone_rule_wakes: u64,
     /// Searches of all suitable machines for a placement of a gang.
     pub gang_searches: u64,
+    /// Tasks that workers reported and that had no binding there.
+    pub orphan_tasks: u64,
+    /// Heartbeats that were recognised as copies of earlier ones.
+    pub duplicate_heartbeats: u64,
     /// Mutations sent to the key-value store.
     pub kv_mutations: u64,
     /// Direct commands that announced the leader.
--- a/src/coordination/leader/machines/commands.rs
+++ b/src/coordination/leader/machines/commands.rs
@@ -7,6 +7,7 @@
 use olivelatch_admission::pressure::PressureLevel;
 
 use crate::coordination::Clock;
+use crate::coordination::leader::machines::command_log::{CommandPath, log_commands};
 use crate::coordination::leader::{Binding, DispatchState, Leader, Machine, MachineState};
 use crate::ids::{Attempt, MachineIx, Millis, TaskId, WorkerEpoch};
 use crate::protocol::workers::{TaskPhase, WorkerCommand};
@@ -155,6 +156,7 @@
     fn start_direct_message(&mut self, ix: MachineIx, commands: Vec<WorkerCommand>) -> DirectMessage {
         let machine = &mut self.cluster.machines[ix.index()];
         machine.direct_send_in_flight = true;
+        log_commands(machine, self.term.token(), CommandPath::Direct, &commands);
         let task_starts = commands
             .iter()
             .filter_map(|command| match command {
--- a/src/coordination/leader/machines/heartbeats.rs
+++ b/src/coordination/leader/machines/heartbeats.rs
@@ -8,6 +8,9 @@
 
 use crate::bookkeeping::store_cache::StoreCache;
 use crate::coordination::Clock;
+use crate::coordination::leader::machines::command_log::{
+    CommandPath, log_commands, log_duplicate_heartbeat,
+};
 use crate::coordination::leader::{Binding, DispatchState, Leader, MachineIdentity, MachineState};
 use crate::ids::{MachineIx, WorkerEpoch};
 use crate::protocol::operators::JobEventKind;
@@ -35,6 +38,8 @@
         let ix = self.register_reporting_machine(cache, heartbeat, clock);
         if self.is_duplicate_heartbeat(ix, heartbeat) {
             // The worker does not wait for the response to a delayed copy, and the copy renews no lease.
+            self.counters.duplicate_heartbeats += 1;
+            log_duplicate_heartbeat(heartbeat);
             return HeartbeatReply::Reject;
         }
         self.cluster.machines[ix.index()].last_heartbeat_id = (heartbeat.epoch, heartbeat.sequence);
@@ -66,6 +71,8 @@
         }
         let mut commands = self.build_forget_commands(ix, cache, heartbeat);
         commands.extend(self.take_due_commands(ix, clock, Some(heartbeat.sequence), may_start));
+        let path = CommandPath::Response { sequence: heartbeat.sequence };
+        log_commands(&self.cluster.machines[ix.index()], self.term.token(), path, &commands);
         HeartbeatReply::Commands(commands)
     }
 
--- a/src/coordination/leader/machines/mod.rs
+++ b/src/coordination/leader/machines/mod.rs
@@ -2,6 +2,7 @@
 //! scaling out and in.
 
 mod capacity_plan;
+mod command_log;
 pub mod commands;
 mod faults;
 pub mod heartbeats;
--- a/src/coordination/leader/machines/task_status.rs
+++ b/src/coordination/leader/machines/task_status.rs
@@ -55,9 +55,13 @@
         if !matches!(binding.dispatch, DispatchState::Observed | DispatchState::Inherited) {
             machine.unacknowledged_starts = 0;
         }
-        binding.dispatch = DispatchState::Observed;
+        let dispatch = std::mem::replace(&mut binding.dispatch, DispatchState::Observed);
         if binding.reported_state != Some(phase) {
-            log::debug!("task {} is {:?} on machine {}", status.task, phase, machine.name);
+            let (task, attempt) = (binding.task, binding.attempt.0);
+            log::debug!(
+                "task {task} is {phase:?} on machine {}: attempt {attempt}, {dispatch:?}",
+                machine.name
+            );
         }
         binding.reported_state = Some(phase);
         binding.late_start_possible = false;
@@ -102,8 +106,8 @@
     /// Stops an orphan task, which has no binding on the machine. It is bound without a job, so that it
     /// counts as present until the worker's reports show that it has stopped.
     fn stop_orphan_task(&mut self, ix: MachineIx, status: &TaskStatus) {
-        let name = self.cluster.machines[ix.index()].name.as_str();
-        log::info!("orphan task {} on {name}, stopping it", status.task);
+        self.counters.orphan_tasks += 1;
+        self.log_orphan_task(ix, status);
         self.add_binding(ix, orphan_binding(status));
     }
 
--- a/src/coordination/leader/operator_views.rs
+++ b/src/coordination/leader/operator_views.rs
@@ -85,6 +85,8 @@
             spilled_tasks: self.counters.spilled_tasks,
             preempted_tasks: self.counters.preempted_tasks,
             machines_lost: self.counters.machines_lost,
+            orphan_tasks: self.counters.orphan_tasks,
+            duplicate_heartbeats: self.counters.duplicate_heartbeats,
             kv_mutations: self.counters.kv_mutations,
             log_segments: self.assignment_log.segment_count() as u64,
             ..LeaderStatus::default()
--- a/src/coordination/leader/term.rs
+++ b/src/coordination/leader/term.rs
@@ -38,6 +38,11 @@
         self.recovery_until
     }
 
+    /// Returns the fencing token of the term that issued an attempt number.
+    pub fn issuing_token(attempt: Attempt) -> FencingToken {
+        FencingToken(attempt.0 >> ATTEMPT_BITS)
+    }
+
     /// Returns the lower bound of the term's attempt numbers, which is itself never issued.
     pub fn attempt_base(&self) -> Attempt {
         Attempt(self.token.0 << ATTEMPT_BITS)
--- a/src/protocol/operators/status.rs
+++ b/src/protocol/operators/status.rs
@@ -101,6 +101,12 @@
     pub preempted_tasks: u64,
     /// Counter of machines lost with the tasks on them.
     pub machines_lost: u64,
+    /// Counter of tasks that workers reported although the leader had not placed them there.
+    #[serde(default)]
+    pub orphan_tasks: u64,
+    /// Counter of heartbeats that were copies of earlier ones.
+    #[serde(default)]
+    pub duplicate_heartbeats: u64,
     /// Counter of mutations sent to the key-value store.
     #[serde(rename = "state_changes")]
     pub kv_mutations: u64,
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -134,6 +134,16 @@
         ("olivelatch_spilled_tasks", "Tasks moved from dedicated to shared queues", leader.spilled_tasks),
         ("olivelatch_preempted_tasks", "Tasks preempted to free capacity for others", leader.preempted_tasks),
         ("olivelatch_machines_lost", "Machines lost with the tasks on them", leader.machines_lost),
+        (
+            "olivelatch_orphan_tasks",
+            "Tasks that workers reported although the leader had not placed them there",
+            leader.orphan_tasks,
+        ),
+        (
+            "olivelatch_duplicate_heartbeats",
+            "Heartbeats that were copies of earlier ones",
+            leader.duplicate_heartbeats,
+        ),
         ("olivelatch_state_changes", "Mutations sent to the key-value store", leader.kv_mutations),
     ]
 }
