Commands: forget an attempt only with a token above its direct starts

Cause: a direct start that was executed and answered can arrive once more. The leader took the answer for proof that the message was used up, and told the worker to forget the attempt once it had exited. A worker that has forgotten an attempt starts it again. Only starts without an answer were kept from being forgotten (Machine::late_starts), and those for the whole epoch, so that a worker's heartbeats grew with them.

Fix: commands to forget travel only in a response whose fencing token is higher than that of every direct message with starts to this worker in its epoch. The worker takes the token and the commands together or neither, so whoever has forgotten an attempt rejects every copy of its start, however late. The leader may use any revision as a token that it read while its leader key existed: the next leader's key is created later. So tokens still increase over leaders of every version, no message and no bit of the token is added, and the first token of a term and the attempt numbers stay as they are. Machine::late_starts is no longer needed.

Weighed: (a) never forget while a copy may arrive: heartbeats grow without bound, since copies may be minutes late; (b) start only in responses: safe, but each start waits for a heartbeat; (c) a counter in the low bits of the token: simpler to raise, but after one term of it no controller of an earlier version can lead, since its tokens are lower.

--- a/src/coordination/controller/direct_commands.rs
+++ b/src/coordination/controller/direct_commands.rs
@@ -26,7 +26,7 @@
         out.push(Action::SendWorkerCommands {
             outbound,
             endpoint: leader.cluster.machines[message.machine.index()].endpoint.clone(),
-            request: commands_request(leader.term.token(), message.epoch, &message.commands),
+            request: commands_request(message.token, message.epoch, &message.commands),
             timeout_ms: TIMEOUT_MS,
         });
         self.in_flight.insert(outbound, message);
--- a/src/coordination/controller/workers.rs
+++ b/src/coordination/controller/workers.rs
@@ -37,7 +37,7 @@
         }
         let Some(leader) = &mut self.state.leader else { return Unavailable::NoLeaderForHeartbeat.into() };
         match leader.handle_heartbeat(&mut self.state.cache, clock, heartbeat, may_act) {
-            HeartbeatReply::Commands(commands) => commands_response(leader.term.token(), &commands),
+            HeartbeatReply::Commands { token, commands } => commands_response(token, &commands),
             HeartbeatReply::Reject => Unavailable::HeartbeatRejected.into(),
         }
     }
@@ -55,7 +55,7 @@
     /// Steps down if a worker has acknowledged the fencing token of a later leader; returns whether it did.
     fn step_down_if_outdated(&mut self, heartbeat: &Heartbeat) -> bool {
         let is_outdated =
-            self.state.leader.as_ref().is_some_and(|leader| heartbeat.token > leader.term.token());
+            self.state.leader.as_ref().is_some_and(|leader| leader.term.is_superseded_by(heartbeat.token));
         if is_outdated {
             log::info!("worker {} has acknowledged a later leader", heartbeat.machine);
             self.step_down();
--- a/src/coordination/leader/cluster.rs
+++ b/src/coordination/leader/cluster.rs
@@ -99,7 +99,8 @@
         let machine_type = self.cluster.machine_types.get(&identity.machine_type);
         let capacity = machine_type.map(|machine_type| machine_type.capacity).unwrap_or_default();
         let steal_backoff_ms = self.tunables.steal_backoff_ms;
-        self.cluster.machines.push(Machine::new(identity, capacity, steal_backoff_ms, clock.now));
+        let token = self.term.token();
+        self.cluster.machines.push(Machine::new(identity, capacity, steal_backoff_ms, token, clock.now));
         ix
     }
 }
--- a/src/coordination/leader/counters.rs
+++ b/src/coordination/leader/counters.rs
@@ -29,6 +29,10 @@
     pub orphan_tasks: u64,
     /// Heartbeats that were recognised as copies of earlier ones.
     pub duplicate_heartbeats: u64,
+    /// How often the fencing token of a machine's messages was raised, so that copies of direct starts are rejected.
+    pub tokens_raised: u64,
+    /// Responses without commands to forget, because the token could not be raised yet.
+    pub forgets_deferred: u64,
     /// Mutations sent to the key-value store.
     pub kv_mutations: u64,
     /// Direct commands that announced the leader.
--- a/src/coordination/leader/machine.rs
+++ b/src/coordination/leader/machine.rs
@@ -2,13 +2,13 @@
 //!
 //! Heartbeats, the cloud's machine list and the records determine this state; placement assigns tasks based on it.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 
 use super::binding::Binding;
 use super::placement::gangs;
 use super::placement::queues::Queue;
 use super::records::assignment_log::SegmentId;
-use crate::ids::{Attempt, ImageIx, JobId, MachineTypeIx, Millis, Resources, TaskId, WorkerEpoch, ZoneIx};
+use crate::ids::{FencingToken, ImageIx, JobId, MachineTypeIx, Millis, Resources, WorkerEpoch, ZoneIx};
 
 /// Consecutive messages with task starts that must be unacknowledged before a machine's receive path counts as down. A
 /// single one may be due to a lost packet or a pause of this controller.
@@ -96,9 +96,11 @@
     pub direct_send_in_flight: bool,
     /// Earliest time of the next direct message to it.
     pub direct_send_not_before: Millis,
-    /// Attempts whose direct start command may still arrive late. In this epoch the worker is not told to forget them
-    /// once they have exited, so that it does not start them again.
-    pub late_starts: HashSet<(TaskId, Attempt)>,
+    /// The fencing token of messages to its worker: the highest one that this leader has sent it.
+    pub token: FencingToken,
+    /// The token of the latest direct message with task starts in this epoch. Copies of it, and of earlier ones, start
+    /// nothing once the worker has seen a higher token.
+    pub direct_start_token: Option<FencingToken>,
     /// When its last binding was removed, or when it came up or was lost.
     pub idle_since: Millis,
     /// Jobs with tasks that failed on it since a task last succeeded on it.
@@ -143,11 +145,12 @@
 }
 
 impl Machine {
-    /// Creates a booting machine, from which no heartbeat has been received.
+    /// Creates a booting machine, from which no heartbeat has been received. `token` is the first of the leader's term.
     pub fn new(
         identity: MachineIdentity<'_>,
         capacity: Resources,
         steal_backoff_ms: f64,
+        token: FencingToken,
         now: Millis,
     ) -> Machine {
         Machine {
@@ -182,7 +185,8 @@
             images: Vec::new(),
             direct_send_in_flight: false,
             direct_send_not_before: Millis::default(),
-            late_starts: HashSet::new(),
+            token,
+            direct_start_token: None,
             idle_since: now,
             failed_jobs: BTreeSet::new(),
             quarantined: false,
--- a/src/coordination/leader/machines/command_log.rs
+++ b/src/coordination/leader/machines/command_log.rs
@@ -8,7 +8,7 @@
 
 use crate::coordination::leader::term::LeaderTerm;
 use crate::coordination::leader::{Leader, Machine};
-use crate::ids::{Attempt, FencingToken, MachineIx, TaskId};
+use crate::ids::{Attempt, MachineIx, TaskId};
 use crate::protocol::workers::{Heartbeat, TaskStatus, WorkerCommand};
 
 /// How commands travel to a worker.
@@ -42,22 +42,17 @@
 }
 
 /// Logs the commands of a message to the machine's worker, with the token and the epoch to which they are bound.
-pub(super) fn log_commands(
-    machine: &Machine,
-    token: FencingToken,
-    path: CommandPath,
-    commands: &[WorkerCommand],
-) {
+pub(super) fn log_commands(machine: &Machine, path: CommandPath, commands: &[WorkerCommand]) {
     if !log::log_enabled!(log::Level::Debug) {
         return;
     }
-    let (name, epoch) = (machine.name.as_str(), machine.epoch.0);
+    let (name, token, epoch) = (machine.name.as_str(), machine.token.0, machine.epoch.0);
     for command in commands {
         let (verb, task, attempt) = command_parts(command);
         log::debug!(
-            event = "command", verb, task:% = task, attempt = attempt.0, machine = name, token = token.0, epoch;
-            "{verb} {task} attempt {} on machine {name}, sent {path}: token {}, epoch {epoch}",
-            attempt.0, token.0
+            event = "command", verb, task:% = task, attempt = attempt.0, machine = name, token, epoch;
+            "{verb} {task} attempt {} on machine {name}, sent {path}: token {token}, epoch {epoch}",
+            attempt.0
         );
     }
 }
--- a/src/coordination/leader/machines/commands.rs
+++ b/src/coordination/leader/machines/commands.rs
@@ -9,7 +9,7 @@
 use crate::coordination::Clock;
 use crate::coordination::leader::machines::command_log::{CommandPath, log_commands};
 use crate::coordination::leader::{Binding, DispatchState, Leader, Machine, MachineState};
-use crate::ids::{Attempt, MachineIx, Millis, TaskId, WorkerEpoch};
+use crate::ids::{Attempt, FencingToken, MachineIx, Millis, TaskId, WorkerEpoch};
 use crate::protocol::workers::{TaskPhase, WorkerCommand};
 
 /// A stop command is sent again after this time while the worker still reports the task.
@@ -33,6 +33,8 @@
     pub machine: MachineIx,
     /// The worker epoch for which the message is meant; 0 if it is not known yet.
     pub epoch: WorkerEpoch,
+    /// The fencing token that the message carries.
+    pub token: FencingToken,
     /// The tasks that the commands start.
     pub task_starts: Vec<(TaskId, Attempt)>,
     /// Empty if the message only announces the leader.
@@ -156,15 +158,18 @@
     fn start_direct_message(&mut self, ix: MachineIx, commands: Vec<WorkerCommand>) -> DirectMessage {
         let machine = &mut self.cluster.machines[ix.index()];
         machine.direct_send_in_flight = true;
-        log_commands(machine, self.term.token(), CommandPath::Direct, &commands);
-        let task_starts = commands
+        log_commands(machine, CommandPath::Direct, &commands);
+        let task_starts: Vec<(TaskId, Attempt)> = commands
             .iter()
             .filter_map(|command| match command {
                 WorkerCommand::Run { task, attempt } => Some((*task, *attempt)),
                 WorkerCommand::Stop { .. } | WorkerCommand::Forget { .. } => None,
             })
             .collect();
-        DirectMessage { machine: ix, epoch: machine.epoch, task_starts, commands }
+        if !task_starts.is_empty() {
+            machine.direct_start_token = Some(machine.token);
+        }
+        DirectMessage { machine: ix, epoch: machine.epoch, token: machine.token, task_starts, commands }
     }
 
     /// Handles the outcome of a direct message.
@@ -245,9 +250,4 @@
         };
         binding.late_start_possible |= outcome == DirectOutcome::Unknown;
     }
-    if outcome == DirectOutcome::Unknown {
-        // This includes tasks that have exited in the meantime: if the worker had forgotten them when a
-        // delayed copy of the command arrives, it would start them again.
-        machine.late_starts.extend(message.task_starts.iter().copied());
-    }
 }
--- a/src/coordination/leader/machines/heartbeats.rs
+++ b/src/coordination/leader/machines/heartbeats.rs
@@ -12,7 +12,7 @@
     CommandPath, log_commands, log_duplicate_heartbeat,
 };
 use crate::coordination::leader::{Binding, DispatchState, Leader, MachineIdentity, MachineState};
-use crate::ids::{MachineIx, WorkerEpoch};
+use crate::ids::{FencingToken, MachineIx, WorkerEpoch};
 use crate::protocol::operators::JobEventKind;
 use crate::protocol::workers::{Heartbeat, WorkerCommand};
 
@@ -20,7 +20,12 @@
 #[derive(Debug)]
 pub enum HeartbeatReply {
     /// Renew the worker's lease and send it these commands.
-    Commands(Vec<WorkerCommand>),
+    Commands {
+        /// The fencing token that the response carries.
+        token: FencingToken,
+        /// The commands, in the order in which the worker executes them.
+        commands: Vec<WorkerCommand>,
+    },
     /// Do not renew the worker's lease: its tasks have to stop when the lease expires.
     Reject,
 }
@@ -47,7 +52,7 @@
         // heartbeat may still be the worker's latest one, so its response renews the lease like any other,
         // but the heartbeat contains nothing new.
         let is_newer = self.is_newer_heartbeat(ix, heartbeat);
-        let acknowledged = heartbeat.token == self.term.token();
+        let acknowledged = self.term.contains(heartbeat.token);
         self.mark_machine_up(ix, clock);
         if is_newer && !acknowledged && self.check_unacknowledged_timeout(ix, clock) {
             return HeartbeatReply::Reject;
@@ -67,13 +72,15 @@
         self.cluster.machines[ix.index()].last_answered_heartbeat_at = Some(clock.now);
         if !is_newer || !acknowledged {
             // The response tells the worker the token; commands follow once the worker has acknowledged it.
-            return HeartbeatReply::Commands(Vec::new());
+            let token = self.cluster.machines[ix.index()].token;
+            return HeartbeatReply::Commands { token, commands: Vec::new() };
         }
-        let mut commands = self.build_forget_commands(ix, cache, heartbeat);
+        let mut commands = self.take_forget_commands(ix, cache, heartbeat);
         commands.extend(self.take_due_commands(ix, clock, Some(heartbeat.sequence), may_start));
         let path = CommandPath::Response { sequence: heartbeat.sequence };
-        log_commands(&self.cluster.machines[ix.index()], self.term.token(), path, &commands);
-        HeartbeatReply::Commands(commands)
+        let machine = &self.cluster.machines[ix.index()];
+        log_commands(machine, path, &commands);
+        HeartbeatReply::Commands { token: machine.token, commands }
     }
 
     /// Applies the worker's status from its response to a direct message. The status does not reflect
@@ -92,7 +99,7 @@
         let machine = &mut self.cluster.machines[ix.index()];
         // After a failover, the worker may go on sending its heartbeats to a partitioned controller for
         // another 16 s. The token in this response acknowledges the leader just as a heartbeat does.
-        if heartbeat.token == self.term.token() && !machine.token_acknowledged {
+        if self.term.contains(heartbeat.token) && !machine.token_acknowledged {
             machine.token_acknowledged = true;
             machine.token_first_acknowledged = Some(clock.now);
             self.cluster.pending_direct_messages.insert(ix);
@@ -203,7 +210,7 @@
         current: WorkerEpoch,
         clock: Clock,
     ) {
-        self.cluster.machines[ix.index()].late_starts.clear();
+        self.cluster.machines[ix.index()].direct_start_token = None;
         if previous == WorkerEpoch(0) {
             return;
         }
--- a/src/coordination/leader/machines/mod.rs
+++ b/src/coordination/leader/machines/mod.rs
@@ -3,6 +3,7 @@
 
 mod capacity_plan;
 mod command_log;
+mod command_tokens;
 pub mod commands;
 mod faults;
 pub mod heartbeats;
--- a/src/coordination/leader/machines/reconcile.rs
+++ b/src/coordination/leader/machines/reconcile.rs
@@ -10,7 +10,7 @@
 
 use crate::bookkeeping::store_cache::StoreCache;
 use crate::coordination::Clock;
-use crate::coordination::leader::{Binding, DispatchState, Leader, Machine};
+use crate::coordination::leader::{Binding, DispatchState, Leader};
 use crate::ids::{Attempt, MachineIx, TaskId};
 use crate::protocol::users::JobKind;
 use crate::protocol::workers::{ExitCause, Heartbeat, TaskPhase, TaskStatus, WorkerCommand};
@@ -58,24 +58,24 @@
     }
 
     /// Returns the commands to forget those exited tasks of the heartbeat for which all consequences of the
-    /// exit are durable.
-    pub(super) fn build_forget_commands(
-        &self,
+    /// exit are durable. Returns none as long as a copy of a direct start could revive them.
+    pub(super) fn take_forget_commands(
+        &mut self,
         ix: MachineIx,
         cache: &StoreCache,
         heartbeat: &Heartbeat,
     ) -> Vec<WorkerCommand> {
-        if heartbeat.token != self.term.token() {
-            return Vec::new();
-        }
-        let machine = &self.cluster.machines[ix.index()];
-        heartbeat
+        let commands: Vec<WorkerCommand> = heartbeat
             .tasks
             .iter()
-            .filter(|status| is_forgettable(machine, status, cache))
+            .filter(|status| is_result_durable(status, cache))
             .filter(|status| !self.has_unpersisted_failure(status, cache))
             .map(|status| WorkerCommand::Forget { task: status.task, attempt: status.attempt })
-            .collect()
+            .collect();
+        if commands.is_empty() || !self.void_direct_starts(ix, cache) {
+            return Vec::new();
+        }
+        commands
     }
 
     /// Returns whether the status is a failed attempt of a DAG node that this leader has counted but not yet
@@ -153,14 +153,9 @@
     }
 }
 
-/// Returns whether the task has exited, no command can start it again, and its result is durable or is not
-/// needed.
-fn is_forgettable(machine: &Machine, status: &TaskStatus, cache: &StoreCache) -> bool {
+/// Returns whether the task has exited, and its result is durable or is not needed.
+fn is_result_durable(status: &TaskStatus, cache: &StoreCache) -> bool {
     let TaskPhase::Exited(cause) = status.state else { return false };
-    // A delayed direct command would start the task again on a worker that had forgotten it.
-    if machine.late_starts.contains(&(status.task, status.attempt)) {
-        return false;
-    }
     if cause != ExitCause::Done || cache.terminal_state(status.task.job).is_some() {
         return true;
     }
--- a/src/coordination/leader/machines/task_status.rs
+++ b/src/coordination/leader/machines/task_status.rs
@@ -121,9 +121,6 @@
     ) {
         let binding = self.remove_binding(ix, index, clock);
         self.log_exit(ix, &binding, cause);
-        if binding.late_start_possible {
-            self.cluster.machines[ix.index()].late_starts.insert((binding.task, binding.attempt));
-        }
         if cause == ExitCause::Done {
             if let Some(job) = binding.job {
                 self.record_node_task_done(ix, job, status);
--- a/src/coordination/leader/term.rs
+++ b/src/coordination/leader/term.rs
@@ -10,6 +10,8 @@
 #[derive(Debug)]
 pub struct LeaderTerm {
     token: FencingToken,
+    /// The highest token that a worker has been sent in this term.
+    highest_token: FencingToken,
     acquired_at: Millis,
     recovery_until: Millis,
     attempts_issued: u64,
@@ -19,14 +21,30 @@
     /// Creates a term that began at `acquired_at`. Until `recovery_until`, leases that a deposed leader renewed may be
     /// valid.
     pub fn new(token: FencingToken, acquired_at: Millis, recovery_until: Millis) -> LeaderTerm {
-        LeaderTerm { token, acquired_at, recovery_until, attempts_issued: 0 }
+        LeaderTerm { token, highest_token: token, acquired_at, recovery_until, attempts_issued: 0 }
     }
 
-    /// Returns the fencing token that each command carries: the revision that created the leader key.
+    /// Returns the first fencing token of the term: the revision that created the leader key.
     pub fn token(&self) -> FencingToken {
         self.token
     }
 
+    /// Records that a worker is sent this token, which must be lower than any later leader's.
+    pub fn record_issued(&mut self, token: FencingToken) {
+        self.highest_token = self.highest_token.max(token);
+    }
+
+    /// Returns whether the token belongs to this term: a worker with this token has heard from this leader and from no
+    /// later one.
+    pub fn contains(&self, token: FencingToken) -> bool {
+        (self.token..=self.highest_token).contains(&token)
+    }
+
+    /// Returns whether the token belongs to a later leader's term.
+    pub fn is_superseded_by(&self, token: FencingToken) -> bool {
+        token > self.highest_token
+    }
+
     /// Returns the time at which this controller became leader.
     pub fn acquired_at(&self) -> Millis {
         self.acquired_at
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -106,8 +106,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub struct Attempt(pub u64);
 
-/// The fencing token of a leadership: the revision at which the leader key was created. Workers reject commands with a
-/// token lower than the highest one they have seen.
+/// A fencing token: a revision from the creation of the leader key up to the latest that the leader has read. Workers
+/// reject commands with a token lower than the highest one they have seen.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub struct FencingToken(pub u64);
 
--- a/tests/simulation/conditions.rs
+++ b/tests/simulation/conditions.rs
@@ -200,6 +200,10 @@
                 let worker = self.workers.iter().find(|worker| worker.machine.name == *host);
                 worker.is_some_and(|worker| compare(running_tasks(worker), op, right))
             }
+            // The longest body of a heartbeat so far, in bytes.
+            ["longest-heartbeat", op, right] => compare(self.longest_heartbeat_bytes, op, right),
+            // How many heartbeats the workers have sent so far.
+            ["heartbeats", op, right] => compare(self.heartbeat_count, op, right),
             ["machines", op, right] => compare(self.cloud.machines.len() as u64, op, right),
             ["workers", op, right] => compare(self.workers.len() as u64, op, right),
             ["tasks", op, right] => compare(self.workers.iter().map(running_tasks).sum(), op, right),
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -169,6 +169,8 @@
         for leader in leaders {
             let counters = &leader.counters;
             for (name, value) in [
+                ("tokens-raised", counters.tokens_raised),
+                ("forgets-deferred", counters.forgets_deferred),
                 ("queued-shared", counters.queued_shared),
                 ("queued-dedicated", counters.queued_dedicated),
                 ("steals", counters.steals),
--- a/tests/simulation/machines.rs
+++ b/tests/simulation/machines.rs
@@ -110,6 +110,8 @@
         self.workers[index].has_unreported_change = false;
         let epoch = self.workers[index].epoch;
         let body = self.workers[index].heartbeat(self.now).to_string();
+        self.longest_heartbeat_bytes = self.longest_heartbeat_bytes.max(body.len() as u64);
+        self.heartbeat_count += 1;
         self.heartbeat_targets[index] = HeartbeatTarget {
             controller: target.controller,
             next_at: self.now + interval_ms,
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -93,6 +93,10 @@
     final_states: BTreeMap<String, String>,
     /// Requests without a response, by the controller's index and the request's number.
     requests_in_flight: BTreeMap<(usize, u64), PendingRequest>,
+    /// Length of the longest body of a heartbeat so far.
+    longest_heartbeat_bytes: u64,
+    /// How many heartbeats the workers have sent so far.
+    heartbeat_count: u64,
     /// How many requests have been sent so far; the last one has this number.
     pub request_count: u64,
     /// Violations of invariants and rules, in the order in which they were found.
@@ -174,6 +178,8 @@
             cancelled: BTreeMap::new(),
             final_states: BTreeMap::new(),
             requests_in_flight: BTreeMap::new(),
+            longest_heartbeat_bytes: 0,
+            heartbeat_count: 0,
             request_count: 0,
             violations: Vec::new(),
             zone_cuts: HashSet::new(),
