Failover: stop the older of two live attempts of a task

Cause: a log segment is kept as long as one of its entries is valid, so the next leader also recovers entries of tasks that have left their machine. Such an entry was expected to be stale, and the first heartbeat removes it. When the attempt had been revived, the heartbeat confirmed the entry instead: the leader took both places for real, stopped neither, and so did its successors. An orphan would have been stopped, but an attempt on record is none.

Fix: an attempt that a worker reports as live is stopped without a grace period if a newer attempt of its task is placed on another machine. Attempts increase, and one is issued only once no other can be on a machine, so the older one is not to run. The end of a superseded attempt is no loss to a gang's newer one.

Also: counters superseded_attempts, tokens_raised, forgets_deferred and the highest number of tasks in a heartbeat, in status and metrics; the orphan line no longer says "expected on" twice.

New actions start-attempt and expect-violation.

--- a/src/coordination/leader/counters.rs
+++ b/src/coordination/leader/counters.rs
@@ -27,12 +27,16 @@
     pub gang_searches: u64,
     /// Tasks that workers reported and that had no binding there.
     pub orphan_tasks: u64,
+    /// Tasks that were stopped because a newer attempt was placed on another machine.
+    pub superseded_attempts: u64,
     /// Heartbeats that were recognised as copies of earlier ones.
     pub duplicate_heartbeats: u64,
     /// How often the fencing token of a machine's messages was raised, so that copies of direct starts are rejected.
     pub tokens_raised: u64,
     /// Responses without commands to forget, because the token could not be raised yet.
     pub forgets_deferred: u64,
+    /// The highest number of tasks in one heartbeat, those that have exited included.
+    pub max_tasks_per_heartbeat: u64,
     /// Mutations sent to the key-value store.
     pub kv_mutations: u64,
     /// Direct commands that announced the leader.
--- a/src/coordination/leader/machines/command_log.rs
+++ b/src/coordination/leader/machines/command_log.rs
@@ -103,10 +103,6 @@
         let places: Vec<String> = bindings
             .map(|(machine, binding)| format!("{} (attempt {})", machine.name, binding.attempt.0))
             .collect();
-        if places.is_empty() {
-            "expected nowhere".into()
-        } else {
-            format!("expected on {}", places.join(", "))
-        }
+        if places.is_empty() { "no machine".into() } else { places.join(", ") }
     }
 }
--- a/src/coordination/leader/machines/heartbeats.rs
+++ b/src/coordination/leader/machines/heartbeats.rs
@@ -170,6 +170,8 @@
     /// Applies the epoch, the reclaim notice and the task statuses of a heartbeat. The caller has to refresh
     /// the placement index afterwards.
     fn apply_heartbeat(&mut self, ix: MachineIx, clock: Clock, heartbeat: &Heartbeat) {
+        let listed = heartbeat.tasks.len() as u64;
+        self.counters.max_tasks_per_heartbeat = self.counters.max_tasks_per_heartbeat.max(listed);
         let previous = self.cluster.machines[ix.index()].epoch;
         if heartbeat.epoch > previous {
             self.cluster.machines[ix.index()].epoch_first_seen = Some(clock.now);
--- a/src/coordination/leader/machines/task_status.rs
+++ b/src/coordination/leader/machines/task_status.rs
@@ -41,7 +41,10 @@
             (Some(index), TaskPhase::Exited(cause)) => {
                 self.handle_task_exit(ix, index, status, cause, clock);
             }
-            (Some(index), _) => self.update_running_task(ix, index, status, clock),
+            (Some(index), _) => {
+                self.update_running_task(ix, index, status, clock);
+                self.stop_superseded_attempt(ix, index);
+            }
             (None, TaskPhase::Exited(_)) => {}
             (None, _) => self.stop_orphan_task(ix, status),
         }
@@ -103,6 +106,30 @@
         machine_type.fetch_mb_per_s += (mb_per_s - machine_type.fetch_mb_per_s) * FETCH_RATE_WEIGHT;
     }
 
+    /// Stops the task at `index` of the machine's bindings if a newer attempt of it is placed on another machine. The
+    /// newer attempt was issued once the older one had left its machine, so the older one has been revived by a late
+    /// command; its record remains only because other entries keep its log segment.
+    fn stop_superseded_attempt(&mut self, ix: MachineIx, index: usize) {
+        let machine = &self.cluster.machines[ix.index()];
+        let binding = &machine.bindings[index];
+        if binding.stop_grace_ms.is_some() {
+            return;
+        }
+        let job_state = binding.job.and_then(|job| self.workload.jobs.get(&job));
+        let newer = job_state.and_then(|state| state.newer_placement(binding));
+        let Some((newer_machine, newer_attempt)) = newer else { return };
+        let (task, attempt, name) = (binding.task, binding.attempt, machine.name.as_str());
+        let newer_name = self.cluster.machines[newer_machine.index()].name.as_str();
+        log::info!(
+            event = "superseded_attempt", task:% = task, attempt = attempt.0, machine = name;
+            "task {task} is on {name} with attempt {}, superseded by attempt {} on {newer_name}: stopping it",
+            attempt.0, newer_attempt.0
+        );
+        self.counters.superseded_attempts += 1;
+        self.cluster.machines[ix.index()].bindings[index].stop_grace_ms = Some(0);
+        self.cluster.pending_direct_messages.insert(ix);
+    }
+
     /// Stops an orphan task, which has no binding on the machine. It is bound without a job, so that it
     /// counts as present until the worker's reports show that it has stopped.
     fn stop_orphan_task(&mut self, ix: MachineIx, status: &TaskStatus) {
--- a/src/coordination/leader/operator_views.rs
+++ b/src/coordination/leader/operator_views.rs
@@ -87,6 +87,10 @@
             machines_lost: self.counters.machines_lost,
             orphan_tasks: self.counters.orphan_tasks,
             duplicate_heartbeats: self.counters.duplicate_heartbeats,
+            superseded_attempts: self.counters.superseded_attempts,
+            tokens_raised: self.counters.tokens_raised,
+            forgets_deferred: self.counters.forgets_deferred,
+            max_tasks_per_heartbeat: self.counters.max_tasks_per_heartbeat,
             kv_mutations: self.counters.kv_mutations,
             log_segments: self.assignment_log.segment_count() as u64,
             ..LeaderStatus::default()
--- a/src/coordination/leader/placement/stop_tasks.rs
+++ b/src/coordination/leader/placement/stop_tasks.rs
@@ -44,7 +44,9 @@
         let Some(job) = self.workload.jobs.get(&job_ix) else {
             return;
         };
-        if job.spec.kind != JobKind::Gang || job.finished.is_full() {
+        // The end of an attempt that a newer one has superseded is no loss to the newer one.
+        let is_superseded = job.newer_placement(lost).is_some();
+        if job.spec.kind != JobKind::Gang || job.finished.is_full() || is_superseded {
             return;
         }
         for machine_ix in machines_of(job) {
--- a/src/coordination/leader/workload.rs
+++ b/src/coordination/leader/workload.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use super::binding::Binding;
 use super::dag_runs::DagNodeState;
 use super::event_log::FirstRun;
 use super::machines::probation::Probation;
@@ -89,6 +90,13 @@
         }
     }
 
+    /// Returns the place of a newer attempt of the binding's task, if there is one. Attempts are issued in increasing
+    /// order, and one is issued only once no other attempt of the task can be on a machine.
+    pub(super) fn newer_placement(&self, binding: &Binding) -> Option<(MachineIx, Attempt)> {
+        let places = self.placements.get(&binding.task.task)?;
+        places.iter().copied().find(|(_, attempt)| *attempt > binding.attempt)
+    }
+
     /// Returns the number of tasks that are neither finished nor placed; at most one for a job on probation.
     pub fn waiting_tasks(&self) -> u64 {
         let waiting = u64::from(self.unfinished_tasks()).saturating_sub(self.placements.len() as u64);
--- a/src/protocol/operators/status.rs
+++ b/src/protocol/operators/status.rs
@@ -107,6 +107,18 @@
     /// Counter of heartbeats that were copies of earlier ones.
     #[serde(default)]
     pub duplicate_heartbeats: u64,
+    /// Counter of tasks that were stopped because a newer attempt was placed on another machine.
+    #[serde(default)]
+    pub superseded_attempts: u64,
+    /// Counter of increases of the fencing token of a machine's messages.
+    #[serde(default)]
+    pub tokens_raised: u64,
+    /// Counter of responses without commands to forget, because the token could not be raised yet.
+    #[serde(default)]
+    pub forgets_deferred: u64,
+    /// Highest number of tasks in one heartbeat, those that have exited included.
+    #[serde(default)]
+    pub max_tasks_per_heartbeat: u64,
     /// Counter of mutations sent to the key-value store.
     #[serde(rename = "state_changes")]
     pub kv_mutations: u64,
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -110,6 +110,11 @@
             "Tasks that may be on machines, including those of finished and cancelled jobs",
             leader.tasks_placed as f64,
         ),
+        (
+            "olivelatch_heartbeat_tasks_max",
+            "Highest number of tasks in one heartbeat since this controller became the leader",
+            leader.max_tasks_per_heartbeat as f64,
+        ),
         (
             "olivelatch_log_parts",
             "Segments of the assignment log in the key-value store",
@@ -144,6 +149,21 @@
             "Heartbeats that were copies of earlier ones",
             leader.duplicate_heartbeats,
         ),
+        (
+            "olivelatch_superseded_attempts",
+            "Tasks stopped because a newer attempt was placed on another machine",
+            leader.superseded_attempts,
+        ),
+        (
+            "olivelatch_tokens_raised",
+            "Increases of the fencing token of a machine's messages",
+            leader.tokens_raised,
+        ),
+        (
+            "olivelatch_forgets_deferred",
+            "Heartbeat responses without commands to forget, because the token could not be raised yet",
+            leader.forgets_deferred,
+        ),
         ("olivelatch_state_changes", "Mutations sent to the key-value store", leader.kv_mutations),
     ]
 }
--- a/tests/golden/views.rs
+++ b/tests/golden/views.rs
@@ -104,7 +104,8 @@
     let leader_status = json!({"machines_up": 1, "machines_booting": 2, "machines_silent": 3, "cpus": 4.0, "cpus_used": 3.5,
         "queued_shared": 5, "queued_dedicated": 6, "queued_nowhere": 7, "gangs_waiting": 8, "tasks_out": 9,
         "starts": 10, "steals": 11, "stolen_tasks": 12, "spilled_tasks": 13, "preempted_tasks": 14,
-        "machines_lost": 15, "orphan_tasks": 18, "duplicate_heartbeats": 19, "state_changes": 16, "log_parts": 17, "teams": [
+        "machines_lost": 15, "orphan_tasks": 18, "duplicate_heartbeats": 19,
+        "superseded_attempts": 20, "tokens_raised": 21, "forgets_deferred": 22, "max_tasks_per_heartbeat": 23, "state_changes": 16, "log_parts": 17, "teams": [
             {"team": "grid", "used_cpus": 3.5, "guaranteed_cpus": 2.0, "limit_cpus": 4.0},
             {"team": "field", "used_cpus": 0.0, "guaranteed_cpus": 0.0, "limit_cpus": null}]});
     json!({"node": "n0", "zone": "north-a", "ready": true, "leads": true, "leader": "n0", "revision": 99,
--- a/tests/simulation/actions/mod.rs
+++ b/tests/simulation/actions/mod.rs
@@ -82,6 +82,8 @@
     ("remove-machine", SimulatedCluster::remove_machine),
     ("change-responses", SimulatedCluster::set_change_response_mode),
     ("direct-commands", SimulatedCluster::set_direct_commands),
+    ("start-attempt", SimulatedCluster::start_attempt),
+    ("expect-violation", SimulatedCluster::expect_violation),
     ("txns", SimulatedCluster::set_txn_mode),
     ("deliver-held", SimulatedCluster::deliver_held),
     ("drop-held", SimulatedCluster::drop_held),
--- a/tests/simulation/actions/timing.rs
+++ b/tests/simulation/actions/timing.rs
@@ -48,6 +48,20 @@
         Ok(())
     }
 
+    /// Expects that a rule is violated within some seconds, as the scenario brings about on purpose.
+    pub(super) fn expect_violation(&mut self, words: &[&str]) -> ActionResult {
+        let [rule, seconds] = words else { return usage_error("RULE SECONDS") };
+        let until = self.deadline_in(seconds)?;
+        while self.violations.is_empty() {
+            if self.now >= until {
+                return Err(format!("{rule} was not violated within {seconds} s"));
+            }
+            self.step();
+        }
+        self.violations.retain(|violation| !violation.starts_with(rule));
+        Ok(())
+    }
+
     pub(super) fn deadline_in(&self, seconds: &str) -> Result<u64, String> {
         Ok(self.now + (parse_seconds(seconds)? * 1000.0) as u64)
     }
--- a/tests/simulation/direct_commands.rs
+++ b/tests/simulation/direct_commands.rs
@@ -2,6 +2,7 @@
 //! once more, from an instant to minutes later.
 
 use olivelatch::protocol::{HttpOutcome, HttpRequest};
+use serde_json::json;
 
 use super::SimulatedCluster;
 use super::actions::{ActionResult, parse_argument, parse_seconds, usage_error};
@@ -108,6 +109,19 @@
         }
     }
 
+    /// Makes a worker start an attempt, as a late copy of a command does if a controller of an earlier version had told
+    /// the worker to forget the attempt.
+    pub(super) fn start_attempt(&mut self, words: &[&str]) -> ActionResult {
+        let [host, task, attempt] = words else { return usage_error("HOST TASK ATTEMPT") };
+        let attempt: u64 = parse_argument(attempt, "the number of an attempt")?;
+        let worker = self.workers.iter_mut().find(|worker| worker.machine.name == *host);
+        let worker = worker.ok_or_else(|| format!("expected a machine with a worker, found {host}"))?;
+        let body = json!({"baton": worker.token, "shift": worker.epoch,
+            "orders": [{"verb": "run", "piece": task, "try": attempt}]});
+        worker.handle_direct_command(body.to_string().as_bytes(), self.now, &self.jobs);
+        Ok(())
+    }
+
     fn is_hung(&self, worker: usize) -> bool {
         self.hung_machines.contains(&self.workers[worker].machine.name)
     }
