Tests: late copies against real processes, and of answered transactions

Cause: the fix of the incident was shown in virtual time only, and no test carried out a transaction again that had been answered and whose key had been removed since.

`txns duplicated` and the scenario answered_transactions_arrive_again: jobs stay done and cancelled, nothing starts, and the next leader removes the log segments that the copies wrote.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -20,6 +20,8 @@
 pub struct TestCluster {
     pub folder: PathBuf,
     teams: Vec<String>,
+    /// Log level of the controllers; `None` for the default.
+    log_level: Option<&'static str>,
     child: Option<Child>,
     /// Holds the ports of the cluster's servers.
     ports: ReservedPorts,
@@ -27,9 +29,14 @@
 
 impl TestCluster {
     pub fn start(folder: &Path, teams: &[&str]) -> TestCluster {
+        TestCluster::start_logging(folder, teams, None)
+    }
+
+    /// Starts a cluster whose controllers log at this level.
+    pub fn start_logging(folder: &Path, teams: &[&str], log_level: Option<&'static str>) -> TestCluster {
         let teams = teams.iter().map(|team| (*team).to_string()).collect();
         let ports = ReservedPorts::reserve(folder);
-        let mut cluster = TestCluster { folder: folder.into(), teams, child: None, ports };
+        let mut cluster = TestCluster { folder: folder.into(), teams, log_level, child: None, ports };
         cluster.up();
         cluster
     }
@@ -41,6 +48,9 @@
         for team in &self.teams {
             command.args(["--team", team]);
         }
+        if let Some(level) = self.log_level {
+            command.args(["--log-level", level]);
+        }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).spawn().expect("the program starts");
         self.child = Some(child);
         self.wait_until("a leader", |cluster| !cluster.leaders().is_empty());
@@ -113,6 +123,14 @@
         ours.filter_map(|entry| entry.file_name().into_string().ok()).collect()
     }
 
+    /// Returns whether a line of a controller's log contains all of the texts.
+    pub fn is_logged(&self, texts: &[&str]) -> bool {
+        let files = std::fs::read_dir(&self.folder).expect("the folder").flatten();
+        let logs = files.filter(|file| file.path().extension().is_some_and(|extension| extension == "log"));
+        let mut logs = logs.filter_map(|file| std::fs::read_to_string(file.path()).ok());
+        logs.any(|log| log.lines().any(|line| texts.iter().all(|text| line.contains(text))))
+    }
+
     pub fn kill_controllers(&self) {
         let pids = self.controller_pids();
         assert!(!pids.is_empty());
--- a/tests/simulation/actions/faults.rs
+++ b/tests/simulation/actions/faults.rs
@@ -101,10 +101,11 @@
     pub(super) fn set_txn_mode(&mut self, words: &[&str]) -> ActionResult {
         (self.txn_mode, self.faults.txn_delay_ms) = match words {
             ["response-lost"] => (TxnMode::ResponseLost, None),
+            ["duplicated"] => (TxnMode::Duplicated, None),
             ["held"] => (TxnMode::Delayed, None),
             ["delayed", seconds] => (TxnMode::Delayed, Some((parse_seconds(seconds)? * 1000.0) as u64)),
             ["normal"] => (TxnMode::Normal, None),
-            _ => return usage_error("response-lost, held, delayed SECONDS or normal"),
+            _ => return usage_error("response-lost, duplicated, held, delayed SECONDS or normal"),
         };
         Ok(())
     }
--- a/tests/simulation/deliveries.rs
+++ b/tests/simulation/deliveries.rs
@@ -16,6 +16,8 @@
     Normal,
     /// Transactions are carried out at once, but the response is lost.
     ResponseLost,
+    /// Transactions are carried out and answered at once, and carried out again when the scenario delivers them.
+    Duplicated,
     /// Transactions get no response. They are carried out after a fixed delay or when the scenario delivers them.
     Delayed,
 }
@@ -76,6 +78,9 @@
                 self.send_event(from, Event::Kv { outbound, outcome: HttpOutcome::Unknown });
                 return;
             }
+            if mode == TxnMode::Duplicated {
+                self.held_txns.push(request.body.clone());
+            }
             self.kv_outcome(&request, mode)
         };
         self.deliver_kv_response(from, outbound, outcome, timeout_ms);
