Command log: look up an orphan's places by its job; list what is open

Cause: the orphan line searched the tasks of every machine, once for each orphan, at info level: a new leader of 4,000 machines may find hundreds.

Change: the places come from the job's placements.

--- a/src/coordination/leader/machines/command_log.rs
+++ b/src/coordination/leader/machines/command_log.rs
@@ -91,17 +91,16 @@
         }
     }
 
-    /// Returns the machines on which the leader expects a task, with the attempts.
+    /// Returns the machines on which the leader expects a task of an unfinished job, with the attempts.
     fn machines_with_task(&self, task: TaskId) -> String {
-        let bindings = self.cluster.machines.iter().flat_map(|machine| {
-            machine
-                .bindings
-                .iter()
-                .filter(|binding| binding.task == task)
-                .map(move |binding| (machine, binding))
-        });
-        let places: Vec<String> = bindings
-            .map(|(machine, binding)| format!("{} (attempt {})", machine.name, binding.attempt.0))
+        let job_state = self.workload.jobs.values().find(|job_state| job_state.spec.id == task.job);
+        let places = job_state.and_then(|job_state| job_state.placements.get(&task.task));
+        let places: Vec<String> = places
+            .into_iter()
+            .flatten()
+            .map(|(ix, attempt)| {
+                format!("{} (attempt {})", self.cluster.machines[ix.index()].name, attempt.0)
+            })
             .collect();
         if places.is_empty() { "no machine".into() } else { places.join(", ") }
     }
