Command log: what makes each command safe, and why a lease is not renewed

Cause: the lines named a command's token and epoch, but not why it was allowed, and a rejected heartbeat left no line.

Nothing but logs is changed.

--- a/src/coordination/leader/machines/command_log.rs
+++ b/src/coordination/leader/machines/command_log.rs
@@ -41,6 +41,16 @@
     }
 }
 
+/// Returns what makes it safe to send the command to the machine's worker.
+fn safety_basis(machine: &Machine, command: &WorkerCommand) -> String {
+    match (command, machine.direct_start_token) {
+        (WorkerCommand::Run { .. }, _) => "its record is durable".into(),
+        (WorkerCommand::Stop { .. }, _) => "repeating it has no effect".into(),
+        (WorkerCommand::Forget { .. }, None) => "no direct start in this epoch".into(),
+        (WorkerCommand::Forget { .. }, Some(used)) => format!("direct starts had token {} at most", used.0),
+    }
+}
+
 /// Logs the commands of a message to the machine's worker, with the token and the epoch to which they are bound.
 pub(super) fn log_commands(machine: &Machine, path: CommandPath, commands: &[WorkerCommand]) {
     if !log::log_enabled!(log::Level::Debug) {
@@ -49,14 +59,24 @@
     let (name, token, epoch) = (machine.name.as_str(), machine.token.0, machine.epoch.0);
     for command in commands {
         let (verb, task, attempt) = command_parts(command);
+        let basis = safety_basis(machine, command);
         log::debug!(
-            event = "command", verb, task:% = task, attempt = attempt.0, machine = name, token, epoch;
-            "{verb} {task} attempt {} on machine {name}, sent {path}: token {token}, epoch {epoch}",
+            event = "command", verb, task:% = task, attempt = attempt.0, machine = name, token, epoch, basis = basis.as_str();
+            "{verb} {task} attempt {} on machine {name}, sent {path}: token {token}, epoch {epoch}; {basis}",
             attempt.0
         );
     }
 }
 
+/// Logs that the response to a heartbeat does not renew the lease of the machine's worker.
+pub(super) fn log_rejected_heartbeat(machine: &Machine, reason: &'static str) {
+    let (name, epoch, sequence) = (machine.name.as_str(), machine.epoch.0, machine.sequence);
+    log::debug!(
+        event = "heartbeat_rejected", machine = name, epoch, sequence, reason;
+        "heartbeat of machine {name} rejected, its lease is not renewed: {reason}"
+    );
+}
+
 /// Logs a heartbeat that is recognised as a copy of an earlier one.
 pub(super) fn log_duplicate_heartbeat(heartbeat: &Heartbeat) {
     let Heartbeat { machine, epoch, sequence, token, .. } = heartbeat;
--- a/src/coordination/leader/machines/heartbeats.rs
+++ b/src/coordination/leader/machines/heartbeats.rs
@@ -9,7 +9,7 @@
 use crate::bookkeeping::store_cache::StoreCache;
 use crate::coordination::Clock;
 use crate::coordination::leader::machines::command_log::{
-    CommandPath, log_commands, log_duplicate_heartbeat,
+    CommandPath, log_commands, log_duplicate_heartbeat, log_rejected_heartbeat,
 };
 use crate::coordination::leader::{Binding, DispatchState, Leader, MachineIdentity, MachineState};
 use crate::ids::{FencingToken, MachineIx, WorkerEpoch};
@@ -55,6 +55,7 @@
         let acknowledged = self.term.contains(heartbeat.token);
         self.mark_machine_up(ix, clock);
         if is_newer && !acknowledged && self.check_unacknowledged_timeout(ix, clock) {
+            log_rejected_heartbeat(&self.cluster.machines[ix.index()], "no acknowledgement for a lease");
             return HeartbeatReply::Reject;
         }
         if is_newer {
@@ -67,6 +68,7 @@
         }
         self.refresh_placement_index(ix);
         if self.is_lease_renewal_cut_off(ix, clock) {
+            log_rejected_heartbeat(&self.cluster.machines[ix.index()], "a cancelled task ends with it");
             return HeartbeatReply::Reject;
         }
         self.cluster.machines[ix.index()].last_answered_heartbeat_at = Some(clock.now);
