--- a/src/bookkeeping/store_cache/mod.rs
+++ b/src/bookkeeping/store_cache/mod.rs
@@ -23,7 +23,7 @@
 use super::records::{
     AssignmentLogRecord, LegacyMachineRecord, ProvisioningRecord, RecordKey, TerminalDetail,
 };
-use crate::ids::{ClassIx, JobId, JobIx, LeaseId, Revision, TeamIx};
+use crate::ids::{ClassIx, FencingToken, JobId, JobIx, LeaseId, Revision, TeamIx};
 use crate::protocol::cloud::MachineTypeRecord;
 
 /// A change that other parts of the controller react to.
@@ -237,6 +237,11 @@
         self.jobs.iter().enumerate().filter_map(|(ix, job)| Some((JobIx(ix as u32), job.as_deref()?)))
     }
 
+    /// Returns whether the leader key is on record and was created at the revision of this token, the first of a term.
+    pub fn has_leader_with(&self, token: FencingToken) -> bool {
+        self.leader.as_ref().is_some_and(|leader| leader.revision == Revision(token.0))
+    }
+
     /// Returns the revision of a key; 0 if the key does not exist. Keys of terminal records are not tracked.
     pub fn key_revision(&self, key: &str) -> Revision {
         self.key_revisions.get(key).copied().unwrap_or_default()
--- a/src/coordination/controller/leadership.rs
+++ b/src/coordination/controller/leadership.rs
@@ -7,7 +7,7 @@
 use crate::coordination::leader::Leader;
 use crate::coordination::leadership::{Leadership, LeadershipChange, MAX_CACHE_AGE_MS};
 use crate::coordination::{Action, Clock};
-use crate::ids::{FencingToken, Millis, Revision};
+use crate::ids::{FencingToken, Millis};
 use crate::protocol::peer::PeerMessage;
 
 /// Silent workers are ignored for this many milliseconds after leadership begins, so that they can find the
@@ -65,7 +65,7 @@
             return;
         }
         self.acquired_leadership = None;
-        if !self.is_recorded_leader(token) {
+        if !self.state.cache.has_leader_with(token) {
             self.step_down();
             return;
         }
@@ -93,15 +93,10 @@
         self.peers.clear_misdirected();
     }
 
-    fn is_recorded_leader(&self, token: FencingToken) -> bool {
-        let recorded = self.state.cache.leader.as_ref().map(|leader| leader.revision);
-        recorded == Some(Revision(token.0))
-    }
-
     /// Stops leading if the records show another leader.
     pub(super) fn step_down_if_superseded(&mut self) {
         if let (Some(leader), Some(token)) = (&self.state.leader, self.leadership.token())
-            && !self.is_recorded_leader(token)
+            && !self.state.cache.has_leader_with(token)
             && self.state.cache.revision.0 >= leader.term.token().0
         {
             log::info!("superseded by another leader");
--- a/src/coordination/leader/machines/command_tokens.rs
+++ b/src/coordination/leader/machines/command_tokens.rs
@@ -37,8 +37,7 @@
 
     /// Returns the highest token that no later leader can have.
     fn highest_usable_token(&self, cache: &StoreCache) -> FencingToken {
-        let leads_on_record =
-            cache.leader.as_ref().is_some_and(|leader| leader.revision.0 == self.term.token().0);
-        if leads_on_record { FencingToken(cache.revision.0) } else { self.term.token() }
+        let token = self.term.token();
+        if cache.has_leader_with(token) { FencingToken(cache.revision.0) } else { token }
     }
 }
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -116,7 +116,7 @@
     pub(super) fn can_reach(&self, controller: usize, worker: usize) -> bool {
         let machine = &self.workers[worker].machine;
         self.machine_exists(worker)
-            && !self.hung_machines.contains(&machine.name)
+            && !self.is_hung(worker)
             && !self.is_cut(controller, "workers")
             && !self.are_zones_cut(&self.controllers[controller].zone, &machine.zone)
     }
--- a/tests/simulation/direct_commands.rs
+++ b/tests/simulation/direct_commands.rs
@@ -7,6 +7,7 @@
 use super::SimulatedCluster;
 use super::actions::{ActionResult, parse_argument, parse_seconds, usage_error};
 use super::deliveries::response;
+use super::fault_injection::take_due;
 
 /// How direct commands are delivered.
 #[derive(Default)]
@@ -98,10 +99,9 @@
 
     /// Delivers the copies that are due. A machine that hangs receives them when it resumes.
     pub(super) fn deliver_command_copies(&mut self) {
-        let (due, later) = std::mem::take(&mut self.direct_commands.copies)
-            .into_iter()
-            .partition(|(due_at, copy)| *due_at <= self.now && !self.is_hung(copy.worker));
-        self.direct_commands.copies = later;
+        let mut copies = std::mem::take(&mut self.direct_commands.copies);
+        let due = take_due(&mut copies, |(due_at, copy)| *due_at <= self.now && !self.is_hung(copy.worker));
+        self.direct_commands.copies = copies;
         for (_, InFlight { worker, body }) in due {
             if self.machine_exists(worker) {
                 self.workers[worker].handle_direct_command(&body, self.now, &self.jobs);
@@ -122,10 +122,6 @@
         Ok(())
     }
 
-    fn is_hung(&self, worker: usize) -> bool {
-        self.hung_machines.contains(&self.workers[worker].machine.name)
-    }
-
     pub(super) fn set_direct_commands(&mut self, words: &[&str]) -> ActionResult {
         self.direct_commands.mode = match words {
             ["held"] => DeliveryMode::Held,
--- a/tests/simulation/fault_injection.rs
+++ b/tests/simulation/fault_injection.rs
@@ -80,7 +80,7 @@
 }
 
 /// Removes and returns the items that are due, and keeps their order.
-fn take_due<T>(items: &mut Vec<T>, is_due: impl Fn(&T) -> bool) -> Vec<T> {
+pub(super) fn take_due<T>(items: &mut Vec<T>, is_due: impl Fn(&T) -> bool) -> Vec<T> {
     let (due, later) = std::mem::take(items).into_iter().partition(is_due);
     *items = later;
     due
--- a/tests/simulation/machines.rs
+++ b/tests/simulation/machines.rs
@@ -35,6 +35,11 @@
         self.cloud.machines.iter().any(|machine| machine.name == *name)
     }
 
+    /// Returns whether the worker's machine hangs.
+    pub(super) fn is_hung(&self, worker: usize) -> bool {
+        self.hung_machines.contains(&self.workers[worker].machine.name)
+    }
+
     /// Starts the worker of each machine that has just finished booting.
     pub(super) fn boot_machines(&mut self) {
         for machine in &self.cloud.machines {
@@ -58,7 +63,7 @@
         let lease_ms = self.worker_setting_ms("lease_s", 12.0);
         for index in 0..self.workers.len() {
             let exists = self.machine_exists(index);
-            if !exists || self.hung_machines.contains(&self.workers[index].machine.name) {
+            if !exists || self.is_hung(index) {
                 self.step_stopped_worker(index, exists, lease_ms);
                 continue;
             }
