review: case 4, an accepted job gets 404 from another controller

Cause: a question in the same millisecond as, but after, the sending of a read counts as covered by that read. Change: review/4 is the new case and takes the place of the former case 8 (a full machine with the image), which is removed. The former cases 4, 5 and 6 are 5, 6 and 8 now, the gravest first; 7 stays. The stand-ins can answer reads late and send several questions before they wait. Nothing is fixed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -11,7 +11,7 @@
 fi
 STARTED=$(mktemp) || exit 2
 export STARTED
-"$program" faulty-machine review/5 "$PWD" "$run" &
+"$program" empty-fleet review/5 "$PWD" "$run" &
 case=$!
 trap 'kill -9 "$case" $(cat "$STARTED") 2>/dev/null; rm -f "$STARTED"; exit 2' INT TERM
 wait "$case"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -11,7 +11,7 @@
 fi
 STARTED=$(mktemp) || exit 2
 export STARTED
-"$program" full-holder review/8 "$PWD" "$run" &
+"$program" cancelled-ahead review/8 "$PWD" "$run" &
 case=$!
 trap 'kill -9 "$case" $(cat "$STARTED") 2>/dev/null; rm -f "$STARTED"; exit 2' INT TERM
 wait "$case"
--- a/review/standins-2/src/cases/cancelled_ahead.rs
+++ b/review/standins-2/src/cases/cancelled_ahead.rs
@@ -49,6 +49,7 @@
         types: vec![big, small],
         teams: vec![("office", 32.0, 64.0)],
         objectives: vec![("nightly", 240.0)],
+        read_answer: Duration::ZERO,
     };
     let mut deployment =
         Deployment::start(&setting.root, &setting.run, setting.record.clone(), &setting.logs, plan)?;
--- a/review/standins-2/src/cases/faulty_machine.rs
+++ b/review/standins-2/src/cases/faulty_machine.rs
@@ -31,6 +31,7 @@
         types: vec![big, small],
         teams: vec![("speech", 64.0, 128.0)],
         objectives: vec![("retrain", 150.0)],
+        read_answer: Duration::ZERO,
     };
     let mut deployment =
         Deployment::start(&setting.root, &setting.run, setting.record.clone(), &setting.logs, plan)?;
--- a/review/standins-2/src/cases/service_beside.rs
+++ b/review/standins-2/src/cases/service_beside.rs
@@ -27,6 +27,7 @@
         types: vec![small],
         teams: vec![("office", 16.0, 32.0)],
         objectives: vec![("nightly", 120.0)],
+        read_answer: Duration::ZERO,
     };
     let mut deployment =
         Deployment::start(&setting.root, &setting.run, setting.record.clone(), &setting.logs, plan)?;
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -39,6 +39,8 @@
     pub teams: Vec<(&'static str, f64, f64)>,
     /// Class, and seconds within which most of its jobs should be done.
     pub objectives: Vec<(&'static str, f64)>,
+    /// How long the state service's answer to a read takes after the read was carried out.
+    pub read_answer: Duration,
 }
 
 /// The running deployment. Dropping it ends the controllers.
@@ -123,7 +125,7 @@
             controllers: Arc::new(controllers.clone()),
             done: Arc::default(),
         };
-        let kv = Kv::new(LIMITS);
+        let kv = Kv::new(LIMITS, plan.read_answer);
         let state = listen(Arc::new(move |request: &Request| Some(kv.handle(request)))).map_err(failed)?;
         let cloud = Cloud::new(plan.types, &plan.zones, Duration::from_secs_f64(LIST_LAG_S), &shared);
         let served = cloud.clone();
@@ -228,6 +230,16 @@
         reply
     }
 
+    /// Uploads a job's description.
+    pub fn add(&self, job: &Job) {
+        self.jobs.add(job);
+    }
+
+    /// The addresses of the controllers for users.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.controllers.iter().map(|(_, address)| *address).collect()
+    }
+
     /// Submits a job, as users do, until it is accepted.
     pub fn submit(&mut self, job: &Job) -> Result<(), String> {
         self.jobs.add(job);
