Read barriers: a request is covered by the order of events, not by the clock

Cause: a request may be decided by a read that was sent after it arrived. Both moments were kept in whole milliseconds and compared with <=, so a read sent earlier in the same millisecond counted as later.

Change: the client of the store numbers its requests in the order in which they are sent; a waiting request keeps the number of the last one before it, and only an applied poll with a higher number decides it. The same for the leader's writer after a lost answer and for a candidate that lost an election, which now waits for a poll sent after the reply.

The tests of the query handler, the client and the leadership give the order where they gave a time; each assertion stays.

--- a/src/coordination/config_requests/mod.rs
+++ b/src/coordination/config_requests/mod.rs
@@ -18,7 +18,7 @@
 use super::kv_mutations::{RATE_LIMITED, apply_own_mutations, put_record, unchanged};
 use super::pending_request::PendingRequest;
 use super::unavailable::Unavailable;
-use super::{Action, Clock, InboundId};
+use super::{Action, Clock, InboundId, OutboundId};
 use crate::bookkeeping::records::RecordKey;
 use crate::bookkeeping::store_cache::StoreCache;
 use crate::ids::{Millis, Revision};
@@ -116,7 +116,13 @@
         if !kv_client.is_reachable(clock.now) {
             return Some(Unavailable::KvUnreachable.into());
         }
-        self.pending.push_back(Pending::new(inbound, request, clock.now, REQUEST_TIMEOUT_MS));
+        self.pending.push_back(Pending::new(
+            inbound,
+            request,
+            kv_client.last_sent(),
+            clock.now,
+            REQUEST_TIMEOUT_MS,
+        ));
         None
     }
 
@@ -149,7 +155,7 @@
         out: &mut Vec<Action>,
     ) -> Progress {
         let pending = &self.pending[index];
-        let is_covered = pending.is_covered_by_read(kv_client.fresh_as_of.unwrap_or_default());
+        let is_covered = kv_client.last_applied_poll.is_some_and(|read| pending.is_covered_by_read(read));
         if !is_covered || (is_change(&pending.request) && self.write_in_flight.is_some()) {
             return Progress::StillPending;
         }
@@ -183,10 +189,12 @@
     }
 
     /// Handles the store's reply to the write in flight; returns the revision of a change that was applied.
+    /// `last_sent` is the last request that was sent to the store before the reply arrived.
     pub fn handle_txn_reply(
         &mut self,
         clock: Clock,
         completed: &CompletedRequest,
+        last_sent: OutboundId,
         cache: &mut StoreCache,
         out: &mut Vec<Action>,
     ) -> Option<Revision> {
@@ -197,12 +205,12 @@
                 self.record_change(*revision, clock.now);
                 // The request is decided again at once. The cached entry now has the change's id, so the
                 // response is the entry in its current state.
-                self.pending.push_front(written.awaiting_new_read(Millis::default()));
+                self.pending.push_front(written.awaiting_read_after(OutboundId::default()));
                 return Some(*revision);
             }
             // Another controller wrote first: the change is decided again on the basis of that write.
             KvReply::PreconditionFailed { .. } => {
-                self.pending.push_back(written.awaiting_new_read(clock.now));
+                self.pending.push_back(written.awaiting_read_after(last_sent));
             }
             KvReply::Rejected { status: RATE_LIMITED } => self.pending.push_front(written),
             // The client repeats the request, and the change's id then shows whether the change was applied.
--- a/src/coordination/controller/config_requests.rs
+++ b/src/coordination/controller/config_requests.rs
@@ -39,8 +39,9 @@
         completed: &CompletedRequest,
         out: &mut Vec<Action>,
     ) {
-        let cache = &mut self.state.cache;
-        if let Some(revision) = self.config_requests.handle_txn_reply(clock, completed, cache, out) {
+        let (last_sent, cache) = (self.kv_client.last_sent(), &mut self.state.cache);
+        let written = self.config_requests.handle_txn_reply(clock, completed, last_sent, cache, out);
+        if let Some(revision) = written {
             self.apply_config_change(clock, revision);
             self.notify_leader(revision, out);
         }
--- a/src/coordination/controller/kv_replies.rs
+++ b/src/coordination/controller/kv_replies.rs
@@ -33,7 +33,8 @@
             Purpose::Poll => self.handle_poll_reply(clock, completed, out),
             Purpose::UserTxn => self.handle_user_txn_reply(clock, &completed, out),
             Purpose::GraphTxn => {
-                self.graph_requests.handle_txn_reply(clock, &completed, &mut self.state.cache, out);
+                let (last_sent, cache) = (self.kv_client.last_sent(), &mut self.state.cache);
+                self.graph_requests.handle_txn_reply(&completed, last_sent, cache, out);
                 self.notify_leader(self.state.cache.revision, out);
             }
             Purpose::ConfigTxn => self.handle_config_txn_reply(clock, &completed, out),
@@ -54,7 +55,8 @@
     }
 
     fn handle_user_txn_reply(&mut self, clock: Clock, completed: &CompletedRequest, out: &mut Vec<Action>) {
-        let result = self.user_requests.handle_txn_reply(clock, completed, &mut self.state.cache, out);
+        let (last_sent, cache) = (self.kv_client.last_sent(), &mut self.state.cache);
+        let result = self.user_requests.handle_txn_reply(clock, completed, last_sent, cache, out);
         if result == TxnResult::Committed {
             self.notify_leader(self.state.cache.revision, out);
         }
@@ -63,16 +65,18 @@
 
     fn handle_leader_txn_reply(&mut self, clock: Clock, completed: CompletedRequest) {
         let Some(leader) = &mut self.state.leader else { return };
-        if !leader.handle_write_reply(clock, completed, &mut self.state.cache) {
+        let last_sent = self.kv_client.last_sent();
+        if !leader.handle_write_reply(clock, completed, last_sent, &mut self.state.cache) {
             log::info!("leader key lost to another controller");
             self.step_down();
         }
     }
 
     fn handle_poll_reply(&mut self, clock: Clock, completed: CompletedRequest, out: &mut Vec<Action>) {
-        let sent_at = completed.sent_at;
+        let CompletedRequest { outbound: poll, sent_at, .. } = completed;
         let has_entries = matches!(completed.reply, KvReply::ChangedEntries { .. });
-        let Some(changes) = self.kv_client.apply_poll(sent_at, completed.reply, &mut self.state.cache) else {
+        let cache = &mut self.state.cache;
+        let Some(changes) = self.kv_client.apply_poll(poll, sent_at, completed.reply, cache) else {
             log::info!("change history compacted: reloading the records");
             self.state.cache = StoreCache::default();
             self.step_down();
@@ -86,9 +90,9 @@
         // If the read was slow, another controller may already have reported a state that is newer than this
         // read, so users wait for the next read.
         if clock.now.saturating_since(sent_at) < MAX_READ_AGE_MS {
-            self.user_requests.complete_read_barrier(clock, sent_at, &self.state, out);
+            self.user_requests.complete_read_barrier(clock, poll, &self.state, out);
         }
-        self.respond_to_operator_queries(clock, sent_at, out);
+        self.respond_to_operator_queries(clock, poll, out);
         self.begin_leadership(clock);
     }
 
--- a/src/coordination/controller/operator_queries.rs
+++ b/src/coordination/controller/operator_queries.rs
@@ -4,8 +4,7 @@
 use super::Controller;
 use crate::coordination::operator_queries::{Requester, respond_to};
 use crate::coordination::unavailable::Unavailable;
-use crate::coordination::{Action, Clock, InboundId};
-use crate::ids::Millis;
+use crate::coordination::{Action, Clock, InboundId, OutboundId};
 use crate::protocol::HttpResponse;
 use crate::protocol::operators::OperatorRequest;
 use crate::protocol::peer::LeaderQuery;
@@ -53,7 +52,12 @@
             Some(leader) => {
                 self.operator_queries.forward_to_leader(clock.now, &leader, inbound, request, out)
             }
-            None => self.operator_queries.enqueue(clock.now, Requester::Client(inbound), request),
+            None => self.operator_queries.enqueue(
+                clock.now,
+                self.kv_client.last_sent(),
+                Requester::Client(inbound),
+                request,
+            ),
         };
         result.err().map(HttpResponse::from)
     }
@@ -95,7 +99,12 @@
         let is_enqueued = can_answer
             && self
                 .operator_queries
-                .enqueue(clock.now, requester.clone(), OperatorRequest::from(query))
+                .enqueue(
+                    clock.now,
+                    self.kv_client.last_sent(),
+                    requester.clone(),
+                    OperatorRequest::from(query),
+                )
                 .is_ok();
         if !is_enqueued {
             respond_to(&requester, &Unavailable::ForwardedQueryRefused.into(), out);
@@ -129,7 +138,10 @@
         let is_answerable_from_records =
             matches!(request, OperatorRequest::InspectJob { .. } | OperatorRequest::ExplainJob { .. });
         let is_enqueued = is_answerable_from_records
-            && self.operator_queries.enqueue(clock.now, Requester::Client(inbound), request).is_ok();
+            && self
+                .operator_queries
+                .enqueue(clock.now, self.kv_client.last_sent(), Requester::Client(inbound), request)
+                .is_ok();
         if !is_enqueued {
             out.push(Action::respond(inbound, Unavailable::LeaderUnresponsive));
         }
@@ -147,15 +159,14 @@
         }
     }
 
-    /// Answers the queries that were received before `read_sent_at`: a read that was sent then has been
-    /// applied to the cache.
+    /// Answers the queries that were received before `read` was sent: it has been applied to the cache.
     pub(super) fn respond_to_operator_queries(
         &mut self,
         clock: Clock,
-        read_sent_at: Millis,
+        read: OutboundId,
         out: &mut Vec<Action>,
     ) {
-        for group in self.operator_queries.take_ready(read_sent_at) {
+        for group in self.operator_queries.take_ready(read) {
             let response = if self.operator_queries.try_take_budget(clock.now) {
                 self.operator_response(clock, &group.request)
             } else {
--- a/src/coordination/graph_requests/mod.rs
+++ b/src/coordination/graph_requests/mod.rs
@@ -20,7 +20,7 @@
 use super::kv_mutations::{RATE_LIMITED, apply_own_mutations};
 use super::pending_request::PendingRequest;
 use super::unavailable::Unavailable;
-use super::{Action, Clock, InboundId};
+use super::{Action, Clock, InboundId, OutboundId};
 use crate::bookkeeping::store_cache::StoreCache;
 use crate::protocol::HttpResponse;
 use crate::protocol::graphs::DagRequest;
@@ -72,7 +72,13 @@
         if !kv_client.loaded || !kv_client.is_reachable(clock.now) || self.pending.len() >= MAX_PENDING {
             return Some(Unavailable::CannotDecide.into());
         }
-        self.pending.push_back(Pending::new(inbound, request, clock.now, REQUEST_TIMEOUT_MS));
+        self.pending.push_back(Pending::new(
+            inbound,
+            request,
+            kv_client.last_sent(),
+            clock.now,
+            REQUEST_TIMEOUT_MS,
+        ));
         None
     }
 
@@ -84,10 +90,9 @@
         kv_client: &mut KvClient,
         out: &mut Vec<Action>,
     ) {
-        let read_sent_at = kv_client.fresh_as_of.unwrap_or_default();
+        let Some(read) = kv_client.last_applied_poll else { return };
         while self.write_in_flight.is_none()
-            && let Some(index) =
-                self.pending.iter().position(|pending| pending.is_covered_by_read(read_sent_at))
+            && let Some(index) = self.pending.iter().position(|pending| pending.is_covered_by_read(read))
         {
             let available_ops = kv_client.write_bucket.available(clock.now);
             let max_ops = available_ops.min(state.settings.kv_limits.max_txn_ops);
@@ -117,11 +122,12 @@
             .retain(|pending| pending.retain_unless(!kv_reachable || pending.is_expired(clock.now), out));
     }
 
-    /// Handles the store's reply to the transaction in flight.
+    /// Handles the store's reply to the transaction in flight. `last_sent` is the last request that was sent to the
+    /// store before the reply arrived.
     pub fn handle_txn_reply(
         &mut self,
-        clock: Clock,
         completed: &CompletedRequest,
+        last_sent: OutboundId,
         cache: &mut StoreCache,
         out: &mut Vec<Action>,
     ) {
@@ -136,7 +142,7 @@
             }
             // Another controller wrote first: the request is decided again on the basis of that write.
             KvReply::PreconditionFailed { .. } => {
-                self.pending.push_back(pending.awaiting_new_read(clock.now));
+                self.pending.push_back(pending.awaiting_read_after(last_sent));
             }
             KvReply::Rejected { status: RATE_LIMITED } => self.pending.push_front(pending),
             // The client repeats the request, and the response then shows whether the write was stored.
--- a/src/coordination/kv_client/cache_refresh.rs
+++ b/src/coordination/kv_client/cache_refresh.rs
@@ -111,6 +111,7 @@
     /// that all records have to be loaded again.
     pub(in crate::coordination) fn apply_poll(
         &mut self,
+        poll: OutboundId,
         sent_at: Millis,
         reply: KvReply,
         cache: &mut StoreCache,
@@ -119,7 +120,8 @@
             KvReply::ChangedEntries { entries, revision } => {
                 let events = entries.iter().filter_map(|entry| cache.apply(entry)).collect();
                 cache.advance_revision(revision);
-                self.fresh_as_of = Some(self.fresh_as_of.unwrap_or_default().max(sent_at));
+                self.last_applied_poll = self.last_applied_poll.max(Some(poll));
+                self.fresh_as_of = self.fresh_as_of.max(Some(sent_at));
                 Some(events)
             }
             KvReply::Compacted => {
@@ -132,6 +134,7 @@
 
     fn restart_load(&mut self) {
         self.loaded = false;
+        self.last_applied_poll = None;
         self.fresh_as_of = None;
         self.refresh.page_cursor = None;
         self.refresh.load_revision = None;
--- a/src/coordination/kv_client/mod.rs
+++ b/src/coordination/kv_client/mod.rs
@@ -76,6 +76,8 @@
     pub request: KvRequest,
     /// The store's reply, or `KvReply::Unknown` if there was none.
     pub reply: KvReply,
+    /// The id under which the request was sent.
+    pub outbound: OutboundId,
     /// When the request was sent.
     pub sent_at: Millis,
 }
@@ -83,7 +85,8 @@
 /// This controller's client of the key-value store.
 #[derive(Debug)]
 pub struct KvClient {
-    next_outbound: u64,
+    /// The request that was sent last. Ids increase in the order in which requests are sent.
+    last_sent: OutboundId,
     pending: HashMap<OutboundId, PendingRequest>,
     /// Limits the rate of all requests.
     request_bucket: TokenBucket,
@@ -93,7 +96,10 @@
     controller_count: usize,
     /// Whether the cache contains all records; until then pages are loaded.
     pub(super) loaded: bool,
-    /// When the last answered poll was sent: the cache contains all changes that were committed before.
+    /// The last answered poll: the cache contains all changes that were committed before it was sent.
+    pub(super) last_applied_poll: Option<OutboundId>,
+    /// When the last answered poll was sent. Tells the age of the cache; what happened before or after the poll
+    /// follows from `last_applied_poll`.
     pub(super) fresh_as_of: Option<Millis>,
     /// When the first request failed since the store last served one. Refusals because of the rate limit do
     /// not count.
@@ -105,13 +111,14 @@
     /// Creates the client of a follower that has loaded no records yet.
     pub(super) fn new(limits: KvLimits, controller_count: usize, now: Millis) -> KvClient {
         let mut kv = KvClient {
-            next_outbound: 0,
+            last_sent: OutboundId::default(),
             pending: HashMap::new(),
             request_bucket: TokenBucket::new(1.0, now),
             write_bucket: TokenBucket::new(1.0, now),
             limits,
             controller_count,
             loaded: false,
+            last_applied_poll: None,
             fresh_as_of: None,
             failing_since: None,
             refresh: RefreshState::default(),
@@ -140,8 +147,8 @@
         request: KvRequest,
         out: &mut Vec<Action>,
     ) -> OutboundId {
-        self.next_outbound += 1;
-        let outbound = OutboundId(self.next_outbound);
+        self.last_sent = OutboundId(self.last_sent.0 + 1);
+        let outbound = self.last_sent;
         let timeout_ms = purpose.timeout_ms();
         let pending = PendingRequest { purpose, request: request.clone(), sent_at: clock.now };
         self.pending.insert(outbound, pending);
@@ -149,6 +156,11 @@
         outbound
     }
 
+    /// Returns the id of the request that was sent last. A read with a higher id is sent after this moment.
+    pub(super) fn last_sent(&self) -> OutboundId {
+        self.last_sent
+    }
+
     /// Sends an election request. It never waits for the rate limit, because a lease that is not renewed in
     /// time is lost.
     pub(super) fn send_leadership_request(
@@ -189,7 +201,7 @@
         let reply = request.parse_reply(outcome);
         self.record_health(clock, &reply);
         self.refresh.complete_request(outbound);
-        Some(CompletedRequest { purpose, request, reply, sent_at })
+        Some(CompletedRequest { purpose, request, reply, outbound, sent_at })
     }
 
     fn record_health(&mut self, clock: Clock, reply: &KvReply) {
--- a/src/coordination/kv_client/tests/kv_client.rs
+++ b/src/coordination/kv_client/tests/kv_client.rs
@@ -72,10 +72,12 @@
     assert!(matches!(&sent[..], [(_, KvRequest::PollChanges { .. })]), "{sent:?}");
     assert_eq!(kv.fresh_as_of, None, "the cache is not fresh before a poll is answered");
     let changes = KvReply::ChangedEntries { entries: Vec::new(), revision: Revision(9) };
-    assert!(kv.apply_poll(START, changes, &mut cache).is_some());
+    assert!(kv.apply_poll(sent[0].0, START, changes, &mut cache).is_some());
     assert_eq!((kv.fresh_as_of, cache.revision), (Some(START), Revision(9)));
-    assert!(kv.apply_poll(START, KvReply::Compacted, &mut cache).is_none());
+    assert_eq!(kv.last_applied_poll, Some(sent[0].0));
+    assert!(kv.apply_poll(sent[0].0, START, KvReply::Compacted, &mut cache).is_none());
     assert_eq!((kv.loaded, kv.fresh_as_of), (false, None), "all records have to be loaded again");
+    assert_eq!(kv.last_applied_poll, None, "the discarded cache covers no request");
 }
 
 /// A poll without waiters is sent at the idle interval, unless `poll_now` was called. Polls leave reserved
--- a/src/coordination/leader/records/store_writer/effects.rs
+++ b/src/coordination/leader/records/store_writer/effects.rs
@@ -5,22 +5,23 @@
 use super::persists;
 use crate::bookkeeping::records::LEADER_KEY;
 use crate::bookkeeping::store_cache::StoreCache;
-use crate::coordination::Clock;
 use crate::coordination::kv_client::CompletedRequest;
 use crate::coordination::kv_mutations::apply_own_mutations;
 use crate::coordination::leader::Leader;
+use crate::coordination::{Clock, OutboundId};
 use crate::ids::{JobId, JobIx, Millis};
 use crate::protocol::kv::{KvReply, KvRequest};
 use crate::protocol::operators::JobEventKind;
 
 impl Leader {
     /// Handles the reply to the transaction in flight. Returns false if it shows that this controller is no longer
-    /// leader.
+    /// leader. `last_sent` is the last request that was sent to the store before the reply arrived.
     #[must_use]
     pub(in crate::coordination) fn handle_write_reply(
         &mut self,
         clock: Clock,
         completed: CompletedRequest,
+        last_sent: OutboundId,
         cache: &mut StoreCache,
     ) -> bool {
         self.writer.txn_in_flight = false;
@@ -37,12 +38,12 @@
                 // A delayed earlier transaction of ours, or another controller, changed a key: poll before writing
                 // again.
                 self.requeue_unwritten_effects(clock.now);
-                self.writer.poll_before_write = Some(clock.now);
+                self.writer.poll_after = Some(last_sent);
                 !failed_keys.iter().any(|key| key == LEADER_KEY)
             }
             KvReply::Unknown => {
                 self.requeue_unwritten_effects(clock.now);
-                self.writer.poll_before_write = Some(clock.now);
+                self.writer.poll_after = Some(last_sent);
                 true
             }
             _ => {
--- a/src/coordination/leader/records/store_writer/mod.rs
+++ b/src/coordination/leader/records/store_writer/mod.rs
@@ -23,8 +23,8 @@
 use crate::coordination::kv_client::{KvClient, Purpose};
 use crate::coordination::leader::Leader;
 use crate::coordination::leader::records::assignment_log::WriteBudget;
-use crate::coordination::{Action, Clock};
-use crate::ids::{JobId, Millis};
+use crate::coordination::{Action, Clock, OutboundId};
+use crate::ids::JobId;
 use crate::protocol::cloud::MachineTypeRecord;
 use crate::protocol::kv::KvMutation;
 use batch::{BatchOptions, RetryBlock, WriteBatch, WriteEffect};
@@ -43,9 +43,10 @@
     other_writes: VecDeque<PendingWrite>,
     effects_in_flight: Vec<WriteEffect>,
     txn_in_flight: bool,
-    /// When the reply to the last transaction was received, if a precondition had failed or the outcome is unknown.
-    /// Nothing is written until a poll that was sent later has updated the cache.
-    poll_before_write: Option<Millis>,
+    /// The last request that was sent to the store before the reply to the last transaction was received, if a
+    /// precondition had failed or the outcome is unknown. Nothing is written until a poll that was sent after it has
+    /// updated the cache.
+    poll_after: Option<OutboundId>,
 }
 
 /// A key and its new value; `None` deletes the key.
@@ -102,13 +103,11 @@
     }
 
     /// Whether the outcome of the last transaction is known, from its reply or because the cache shows it.
-    fn is_outcome_known(&mut self, cache_fresh_as_of: Option<Millis>) -> bool {
-        if let Some(since) = self.poll_before_write
-            && cache_fresh_as_of.is_none_or(|fresh| fresh <= since)
-        {
+    fn is_outcome_known(&mut self, last_applied_poll: Option<OutboundId>) -> bool {
+        if self.poll_after.is_some() && last_applied_poll <= self.poll_after {
             return false;
         }
-        self.poll_before_write = None;
+        self.poll_after = None;
         true
     }
 }
@@ -123,7 +122,7 @@
         kv: &mut KvClient,
         out: &mut Vec<Action>,
     ) {
-        if self.writer.txn_in_flight || !self.writer.is_outcome_known(kv.fresh_as_of) {
+        if self.writer.txn_in_flight || !self.writer.is_outcome_known(kv.last_applied_poll) {
             return;
         }
         let spare_writes = kv.write_bucket.available(clock.now);
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -7,7 +7,7 @@
 //! no I/O and reads no clock.
 
 use super::kv_client::{CompletedRequest, KvClient};
-use super::{Action, Clock};
+use super::{Action, Clock, OutboundId};
 use crate::bookkeeping::records::{LEADER_KEY, LeaderRecord};
 use crate::bookkeeping::store_cache::StoreCache;
 use crate::ids::{FencingToken, LeaseId, Millis, Revision};
@@ -69,6 +69,8 @@
     renewal_sent_at: Millis,
     request_in_flight: bool,
     last_request_at: Millis,
+    /// The last request that was sent to the store before the reply to the last election request arrived.
+    last_sent_before_reply: OutboundId,
     /// Time until which this controller delays its campaign, so that others can lead.
     cooldown_until: Millis,
     /// When the cache began to show no leader; `None` while it shows one or no poll has been
@@ -100,6 +102,7 @@
             renewal_sent_at: Millis::default(),
             request_in_flight: false,
             last_request_at: Millis::default(),
+            last_sent_before_reply: OutboundId::default(),
             cooldown_until: Millis::default(),
             leaderless_since: None,
             former_lease_revoked_at: None,
@@ -251,8 +254,8 @@
     /// limit, campaigning again at once left no requests for polls (permanently so on four of five
     /// controllers).
     fn may_request(&self, now: Millis, kv: &KvClient) -> bool {
-        let polled_since_request = kv.fresh_as_of.is_some_and(|fresh| fresh > self.last_request_at);
-        polled_since_request && now.saturating_since(self.last_request_at) >= CAMPAIGN_INTERVAL_MS
+        let polled_since_reply = kv.last_applied_poll > Some(self.last_sent_before_reply);
+        polled_since_reply && now.saturating_since(self.last_request_at) >= CAMPAIGN_INTERVAL_MS
     }
 
     /// Returns the lease of a leader record that names this controller although this process does not lead.
@@ -295,6 +298,7 @@
         out: &mut Vec<Action>,
     ) -> LeadershipChange {
         self.request_in_flight = false;
+        self.last_sent_before_reply = kv.last_sent();
         match (self.phase, &completed.request, completed.reply) {
             (Phase::Granting, _, KvReply::LeaseGranted { lease }) => {
                 self.phase = Phase::Acquiring { lease };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -49,8 +49,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct InboundId(pub u64);
 
-/// Identifies an HTTP request that this controller has sent and whose outcome is not known yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+/// Identifies an HTTP request that this controller has sent and whose outcome is not known yet. The requests to the
+/// key-value store are numbered in the order in which they are sent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct OutboundId(pub u64);
 
 /// Something that happened and that a controller reacts to.
--- a/src/coordination/operator_queries.rs
+++ b/src/coordination/operator_queries.rs
@@ -5,7 +5,7 @@
 
 use super::token_bucket::TokenBucket;
 use super::unavailable::Unavailable;
-use super::{Action, Clock, InboundId};
+use super::{Action, Clock, InboundId, OutboundId};
 use crate::ids::Millis;
 use crate::protocol::HttpResponse;
 use crate::protocol::operators::OperatorRequest;
@@ -40,7 +40,8 @@
 struct PendingQuery {
     requester: Requester,
     request: OperatorRequest,
-    received_at: Millis,
+    /// The last request that was sent to the store before the query arrived.
+    last_sent_before: OutboundId,
     deadline: Millis,
 }
 
@@ -100,13 +101,15 @@
         !self.awaiting_barrier.is_empty()
     }
 
-    /// Makes a query wait for a read barrier.
+    /// Makes a query wait for a read that is sent after `last_sent_before`, the last request that was sent to the
+    /// store before the query arrived.
     ///
     /// # Errors
     /// Returns an error if too many queries wait.
     pub fn enqueue(
         &mut self,
         now: Millis,
+        last_sent_before: OutboundId,
         requester: Requester,
         request: OperatorRequest,
     ) -> Result<(), Unavailable> {
@@ -114,7 +117,7 @@
             return Err(Unavailable::TooManyQueries);
         }
         let deadline = now.saturating_add(BARRIER_TIMEOUT_MS);
-        self.awaiting_barrier.push(PendingQuery { requester, request, received_at: now, deadline });
+        self.awaiting_barrier.push(PendingQuery { requester, request, last_sent_before, deadline });
         Ok(())
     }
 
@@ -147,12 +150,11 @@
         self.forwarded.remove(&query_id).map(|query| (query.inbound, query.request))
     }
 
-    /// Removes and returns the queries that a read sent at `read_sent_at` covers, with identical ones
-    /// grouped.
-    pub fn take_ready(&mut self, read_sent_at: Millis) -> Vec<QueryGroup> {
+    /// Removes and returns the queries that were received before `read` was sent, with identical ones grouped.
+    pub fn take_ready(&mut self, read: OutboundId) -> Vec<QueryGroup> {
         let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.awaiting_barrier)
             .into_iter()
-            .partition(|query| query.received_at <= read_sent_at);
+            .partition(|query| query.last_sent_before < read);
         self.awaiting_barrier = waiting;
         let mut groups: Vec<QueryGroup> = Vec::new();
         for PendingQuery { requester, request, .. } in ready {
--- a/src/coordination/tests/leadership.rs
+++ b/src/coordination/tests/leadership.rs
@@ -35,10 +35,16 @@
 
     /// Returns the requests that the candidate sends at this time, with a poll answered just before.
     fn tick_at(&mut self, now: Millis) -> Vec<KvRequest> {
-        self.kv.fresh_as_of = Some(now);
+        self.answer_poll(now);
         self.tick_without_poll(now, false)
     }
 
+    /// Makes the client behave as if a poll had been sent and answered at this time.
+    fn answer_poll(&mut self, now: Millis) {
+        self.kv.last_applied_poll = Some(OutboundId(self.kv.last_sent().0 + 1));
+        self.kv.fresh_as_of = Some(now);
+    }
+
     fn tick_without_poll(&mut self, now: Millis, preferred: bool) -> Vec<KvRequest> {
         self.now = now;
         let mut out = Vec::new();
@@ -51,6 +57,7 @@
             purpose: Purpose::Leadership,
             request: request.clone(),
             reply,
+            outbound: self.kv.last_sent(),
             sent_at: self.now,
         };
         let mut out = Vec::new();
@@ -193,7 +200,7 @@
         leader.cache.leader = None;
         assert_eq!(leader.tick_at(stepped_down_at.saturating_add(1)), []);
         let early = stepped_down_at.saturating_add(STEP_DOWN_COOLDOWN_MS - 1);
-        leader.kv.fresh_as_of = Some(early);
+        leader.answer_poll(early);
         let expected = if preferred { vec![grant()] } else { Vec::new() };
         assert_eq!(leader.tick_without_poll(early, preferred), expected);
         if !preferred {
--- a/src/coordination/tests/operator_queries.rs
+++ b/src/coordination/tests/operator_queries.rs
@@ -18,12 +18,16 @@
     let tunables = OperatorTunables { enabled: true, ..OperatorTunables::default() };
     let mut handler = OperatorQueryHandler::new(&tunables, 7, Millis(0));
     for id in 0..10 {
-        assert!(handler.enqueue(Millis(5), client(id), explain(id % 2)).is_ok());
+        assert!(handler.enqueue(Millis(5), OutboundId(4), client(id), explain(id % 2)).is_ok());
     }
-    assert!(handler.take_ready(Millis(4)).is_empty(), "a read sent before they were received covers none");
-    let ready = handler.take_ready(Millis(5));
+    assert!(
+        handler.take_ready(OutboundId(4)).is_empty(),
+        "a read sent before they were received covers none"
+    );
+    let ready = handler.take_ready(OutboundId(5));
     assert_eq!(ready.iter().map(|group| group.requesters.len()).collect::<Vec<_>>(), [5, 5]);
-    let enqueued = (0..500).filter(|id| handler.enqueue(Millis(9), client(*id), explain(1)).is_ok());
+    let enqueued =
+        (0..500).filter(|id| handler.enqueue(Millis(9), OutboundId(5), client(*id), explain(1)).is_ok());
     assert_eq!(enqueued.count(), MAX_PENDING);
     let mut out = Vec::new();
     assert!(handler.forward_to_leader(Millis(9), "n1", InboundId(7), explain(1), &mut out).is_ok());
--- a/src/coordination/user_requests/mod.rs
+++ b/src/coordination/user_requests/mod.rs
@@ -13,10 +13,10 @@
 use super::kv_client::KvClient;
 use super::pending_request::PendingRequest;
 use super::unavailable::Unavailable;
-use super::{Action, Clock, InboundId};
+use super::{Action, Clock, InboundId, OutboundId};
 use crate::bookkeeping::jobs::TerminalState;
 use crate::bookkeeping::store_cache::StoreCache;
-use crate::ids::{JobId, Millis};
+use crate::ids::JobId;
 use crate::protocol::HttpResponse;
 use crate::protocol::users::{JobManifest, JobStatus, UserRequest, status_response};
 use crate::tunables::Tunables;
@@ -105,7 +105,7 @@
             UserRequest::Poll { .. } => POLL_TIMEOUT_MS,
             UserRequest::Submit { .. } | UserRequest::Cancel { .. } => WRITE_TIMEOUT_MS,
         };
-        let pending = PendingRequest::new(inbound, request, clock.now, timeout_ms);
+        let pending = PendingRequest::new(inbound, request, kv_client.last_sent(), clock.now, timeout_ms);
         if is_terminal {
             self.awaiting_stability.push(pending);
         } else {
@@ -134,18 +134,17 @@
         }
     }
 
-    /// Decides the requests that were received before `read_sent_at`: a read that was sent then has been
-    /// applied to the cache.
+    /// Decides the requests that were received before `read` was sent: it has been applied to the cache.
     pub fn complete_read_barrier(
         &mut self,
         clock: Clock,
-        read_sent_at: Millis,
+        read: OutboundId,
         state: &ControllerState,
         out: &mut Vec<Action>,
     ) {
         let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.awaiting_barrier)
             .into_iter()
-            .partition(|pending| pending.is_covered_by_read(read_sent_at));
+            .partition(|pending| pending.is_covered_by_read(read));
         self.awaiting_barrier = waiting;
         for pending in ready {
             self.decide(clock, pending, state, out);
--- a/src/coordination/user_requests/writes.rs
+++ b/src/coordination/user_requests/writes.rs
@@ -12,7 +12,7 @@
 use crate::coordination::kv_mutations::{RATE_LIMITED, absent, apply_own_mutations, put_record, unchanged};
 use crate::coordination::read_watermarks::MAX_READ_AGE_MS;
 use crate::coordination::unavailable::Unavailable;
-use crate::coordination::{Action, Clock, InboundId};
+use crate::coordination::{Action, Clock, InboundId, OutboundId};
 use crate::ids::{JobId, Millis, Revision};
 use crate::protocol::kv::{KvMutation, KvReply, Precondition};
 use crate::protocol::users::{JobManifest, JobStatus, UserRequest, status_response};
@@ -46,15 +46,15 @@
         matches!(self.write, JobWrite::Accept { .. }) && cache.dag_runs.is_node_job(self.job)
     }
 
-    /// Returns the request that resulted in the write, with its original deadline. It counts as received at
-    /// `now`, so that it is decided again only after a new read.
-    fn into_request(self, now: Millis) -> Pending {
+    /// Returns the request that resulted in the write, with its original deadline, to be decided again by a read
+    /// that is sent after `last_sent`.
+    fn into_request(self, last_sent: OutboundId) -> Pending {
         let id = self.job;
         let request = match self.write {
             JobWrite::Accept { manifest } => UserRequest::Submit { id, manifest: Ok(manifest) },
             JobWrite::Cancel { .. } => UserRequest::Cancel { id },
         };
-        Pending { inbound: self.inbound, request, received_at: now, deadline: self.deadline }
+        Pending { inbound: self.inbound, request, last_sent_before: last_sent, deadline: self.deadline }
     }
 
     fn preconditions(&self) -> Vec<Precondition> {
@@ -156,7 +156,7 @@
         if !self.has_writes_to_send() {
             return;
         }
-        self.revalidate_queued(clock, cache);
+        self.revalidate_queued(kv_client.last_sent(), cache);
         let max_ops = max_ops.min(kv_client.write_bucket.available(clock.now));
         let WriteBatch { preconditions, mutations, .. } = self.plan_batch(clock, max_ops, cache);
         let count = mutations.len();
@@ -181,7 +181,7 @@
 
     /// Moves submissions back to be decided again if a graph's node has taken their name since they were
     /// queued.
-    fn revalidate_queued(&mut self, clock: Clock, cache: &StoreCache) {
+    fn revalidate_queued(&mut self, last_sent: OutboundId, cache: &StoreCache) {
         if !self.queued_writes.iter().any(|write| write.is_submission_of_node_job(cache)) {
             return;
         }
@@ -189,14 +189,16 @@
             .into_iter()
             .partition(|write| write.is_submission_of_node_job(cache));
         self.queued_writes = valid;
-        self.awaiting_barrier.extend(stale.into_iter().map(|write| write.into_request(clock.now)));
+        self.awaiting_barrier.extend(stale.into_iter().map(|write| write.into_request(last_sent)));
     }
 
-    /// Handles the store's reply to the transaction in flight.
+    /// Handles the store's reply to the transaction in flight. `last_sent` is the last request that was sent to the
+    /// store before the reply arrived.
     pub fn handle_txn_reply(
         &mut self,
         clock: Clock,
         completed: &CompletedRequest,
+        last_sent: OutboundId,
         cache: &mut StoreCache,
         out: &mut Vec<Action>,
     ) -> TxnResult {
@@ -205,12 +207,12 @@
             KvReply::Committed { revision } => {
                 apply_own_mutations(&completed.request, *revision, cache);
                 for write in writes {
-                    self.complete_write(clock, write, completed.sent_at, out);
+                    self.complete_write(clock, write, completed, last_sent, out);
                 }
                 return TxnResult::Committed;
             }
             KvReply::PreconditionFailed { failed_keys } => {
-                self.retry_conflicting(clock, writes, failed_keys);
+                self.retry_conflicting(last_sent, writes, failed_keys);
             }
             KvReply::Rejected { status: RATE_LIMITED } => self.queued_writes.extend(writes),
             // The user repeats the request, and the response then shows whether the write was stored.
@@ -225,14 +227,15 @@
         &mut self,
         clock: Clock,
         write: PendingWrite,
-        txn_sent_at: Millis,
+        completed: &CompletedRequest,
+        last_sent: OutboundId,
         out: &mut Vec<Action>,
     ) {
         let PendingWrite { inbound, job: id, .. } = write;
         match write.write {
             // Another controller may already have reported the job as finished, and "pending" would then be
             // an older state.
-            JobWrite::Accept { .. } if clock.now.saturating_since(txn_sent_at) >= MAX_READ_AGE_MS => {
+            JobWrite::Accept { .. } if clock.now.saturating_since(completed.sent_at) >= MAX_READ_AGE_MS => {
                 out.push(Action::respond(inbound, Unavailable::WriteAcknowledgedLate));
             }
             JobWrite::Accept { .. } => {
@@ -241,17 +244,22 @@
             }
             JobWrite::Cancel { .. } => {
                 log::info!(event = "cancellation_accepted", job:% = id; "cancellation of {id} accepted");
-                self.awaiting_stability.push(write.into_request(clock.now));
+                self.awaiting_stability.push(write.into_request(last_sent));
             }
         }
     }
 
     /// Moves writes whose keys another controller changed first back to be decided again, and requeues the
     /// others.
-    fn retry_conflicting(&mut self, clock: Clock, writes: Vec<PendingWrite>, failed_keys: &[String]) {
+    fn retry_conflicting(
+        &mut self,
+        last_sent: OutboundId,
+        writes: Vec<PendingWrite>,
+        failed_keys: &[String],
+    ) {
         for write in writes {
             if write.is_in_conflict(failed_keys) {
-                self.awaiting_barrier.push(write.into_request(clock.now));
+                self.awaiting_barrier.push(write.into_request(last_sent));
             } else {
                 self.queued_writes.push(write);
             }
--- a/tests/simulation/actions/mod.rs
+++ b/tests/simulation/actions/mod.rs
@@ -58,6 +58,7 @@
     }),
     ("submit-raw", SimulatedCluster::submit_raw),
     ("poll", SimulatedCluster::poll_expecting),
+    ("poll-all", SimulatedCluster::poll_all_controllers),
     ("cancel", SimulatedCluster::cancel),
     ("advance", SimulatedCluster::advance),
     ("until", SimulatedCluster::until),
--- a/tests/simulation/actions/requests.rs
+++ b/tests/simulation/actions/requests.rs
@@ -44,6 +44,16 @@
         Ok(())
     }
 
+    /// Polls a job at every controller at the same moment, without waiting for a response.
+    pub(super) fn poll_all_controllers(&mut self, words: &[&str]) -> ActionResult {
+        let [id] = words else { return usage_error("JOB") };
+        let (id, job) = parse_job(id)?;
+        for controller in 0..self.controllers.len() {
+            self.send_request_to(controller, UserRequest::Poll { id: job }, &id);
+        }
+        Ok(())
+    }
+
     pub(super) fn cancel(&mut self, words: &[&str]) -> ActionResult {
         let (id, choice) = match words {
             [id] => (id, None),
--- a/tests/simulation/deliveries.rs
+++ b/tests/simulation/deliveries.rs
@@ -83,7 +83,8 @@
             }
             self.kv_outcome(&request, mode)
         };
-        self.deliver_kv_response(from, outbound, outcome, timeout_ms);
+        let is_read = matches!(request, KvRequest::PollChanges { .. } | KvRequest::ListPage { .. });
+        self.deliver_kv_response(from, outbound, outcome, is_read, timeout_ms);
     }
 
     fn kv_outcome(&mut self, request: &HttpRequest, mode: TxnMode) -> HttpOutcome {
--- a/tests/simulation/fault_injection.rs
+++ b/tests/simulation/fault_injection.rs
@@ -41,6 +41,8 @@
     pub started_after_cancel: u64,
     /// Response time of the kv store, in ms; 0 for a response within the same step.
     pub kv_delay_ms: u64,
+    /// Whether `kv_delay_ms` applies to reads only, and writes are answered within the same step.
+    pub kv_delay_of_reads_only: bool,
     /// Whether the response time of the kv store varies, so that responses may arrive out of order.
     pub kv_delay_varies: bool,
     /// Delayed responses: time of arrival, controller, its incarnation when it sent the request, and the response.
@@ -108,6 +110,7 @@
         controller: usize,
         outbound: OutboundId,
         outcome: HttpOutcome,
+        is_read: bool,
         timeout_ms: u64,
     ) {
         // Some responses take a few hundred milliseconds, the others one step.
@@ -118,7 +121,8 @@
             _ => STEP_MS,
         };
         let delay_ms = if self.faults.kv_delay_varies { varying_ms } else { self.faults.kv_delay_ms };
-        if delay_ms == 0 {
+        let is_exempt = self.faults.kv_delay_of_reads_only && !is_read;
+        if delay_ms == 0 || is_exempt {
             return self.send_event(controller, Event::Kv { outbound, outcome });
         }
         let outcome = if delay_ms < timeout_ms { outcome } else { HttpOutcome::Unknown };
@@ -250,10 +254,11 @@
 
     pub fn set_kv_delay(&mut self, words: &[&str]) -> ActionResult {
         self.faults.kv_delay_varies = words == ["variable"];
+        self.faults.kv_delay_of_reads_only = matches!(words, ["reads", _]);
         self.faults.kv_delay_ms = match words {
             ["none" | "variable"] => 0,
-            [seconds] => (parse_seconds(seconds)? * 1000.0) as u64,
-            _ => return usage_error("SECONDS, variable or none"),
+            [seconds] | ["reads", seconds] => (parse_seconds(seconds)? * 1000.0) as u64,
+            _ => return usage_error("SECONDS, reads SECONDS, variable or none"),
         };
         Ok(())
     }
--- a/tests/simulation/poll_bursts.rs
+++ b/tests/simulation/poll_bursts.rs
@@ -97,7 +97,7 @@
     }
 
     /// Sends a request to this controller if it is running and users can reach it.
-    fn send_request_to(&mut self, controller: usize, request: UserRequest, id: &str) {
+    pub(super) fn send_request_to(&mut self, controller: usize, request: UserRequest, id: &str) {
         if self.controllers[controller].controller.is_none() || self.is_cut(controller, "users") {
             return;
         }
