Capacity plan: a job is expected to run only where it has not failed, and is never given up

Arrays were retried on a faulty machine alone beside a cordoned idle one (failed_job_uses_cordoned_machine).

Cause: lifting the exclusion of a machine deleted the failure. One set answered where placement may try the job now and where the plan can expect it to run; and six failures on one machine counted as six machines. Evidence: in the log of the scenario each failure is followed by 'retry after exclusion' a quarter of a second later, and there is no 'scale out' line before the check fails.

Change: a job keeps the machines on which it has failed since its last success; placement's exclusions are a part of them. The plan expects nothing there, uses an idle machine or rents another one, and keeps failed machines only if no other can be had. A gang is at fault only by six different machines that still exist. Rentals for a job that keeps failing are bounded: the machines of one attempt in ten minutes.

--- a/src/coordination/leader/machines/capacity_plan/array_demand.rs
+++ b/src/coordination/leader/machines/capacity_plan/array_demand.rs
@@ -4,6 +4,7 @@
 use super::CapacityPlan;
 use super::planned_machines::cpu_ms;
 use crate::coordination::leader::machines::provisioner::MIN_BILLED_MS;
+use crate::coordination::leader::placement::eligibility::PlacementBlocker;
 use crate::coordination::leader::{JobState, MachineType};
 
 /// The minimum planning horizon, even for a job that is late.
@@ -75,23 +76,23 @@
         }
         let fraction = self.leader.tunables.start_deadline_fraction;
         let mut demand = ArrayDemand::new(job_state, waiting, time_left_ms, fraction);
-        self.assign_array_to_machines(&mut demand);
+        self.assign_array_to_machines(&mut demand, None);
         self.assign_array_to_spare_capacity(&mut demand);
         self.use_pending_requests(job_state, |_, machine_type| {
             demand.assign(demand.usable_cpu_ms(machine_type)) > 0
         });
         self.request_machines_for_array(&mut demand);
+        // If no other machine can be had for the job now, it is retried where it has failed.
+        self.assign_array_to_machines(&mut demand, Some(PlacementBlocker::FailedBefore));
     }
 
-    fn assign_array_to_machines(&mut self, demand: &mut ArrayDemand<'_>) {
-        let spec = &demand.job_state.spec;
+    /// Assigns the array to the machines with this planning blocker.
+    fn assign_array_to_machines(&mut self, demand: &mut ArrayDemand<'_>, blocker: Option<PlacementBlocker>) {
         for planned in &mut self.planned_machines {
             if demand.is_met() {
                 break;
             }
-            let machine = &self.leader.cluster.machines[planned.ix.index()];
-            let fits = spec.task_resources.fits_in(&machine.capacity);
-            if !fits || !spec.allows(machine.machine_type, machine.zone, machine.spot) {
+            if self.leader.planning_blocker(planned.ix, demand.job_state) != blocker {
                 continue;
             }
             let assigned = demand.assign(planned.free_cpu_ms(demand.horizon_ms));
@@ -114,7 +115,10 @@
     fn request_machines_for_array(&mut self, demand: &mut ArrayDemand<'_>) {
         let leader = self.leader;
         let mut added = 0;
-        while !demand.is_met() && added < MAX_ADDED_PER_JOB {
+        while !demand.is_met()
+            && added < MAX_ADDED_PER_JOB
+            && demand.job_state.may_rent_machines(self.clock.now)
+        {
             let offer = leader.cheapest_offer(demand.job_state, self.clock, |_| true);
             let Some(offer) = offer else { return };
             let Some(machine_type) = leader.cluster.machine_types.get(&offer.machine_type) else { return };
--- a/src/coordination/leader/machines/capacity_plan/gang_demand.rs
+++ b/src/coordination/leader/machines/capacity_plan/gang_demand.rs
@@ -5,6 +5,7 @@
 use super::CapacityPlan;
 use super::planned_machines::cpu_ms;
 use super::zone_demand::ZoneDemand;
+use crate::coordination::leader::placement::eligibility::PlacementBlocker;
 use crate::coordination::leader::{JobState, Leader};
 use crate::ids::{JobIx, MachineIx, ZoneIx};
 
@@ -18,24 +19,33 @@
         if demand.needs_zone(job_state) {
             demand.require_zone(self.choose_zone(ix, job_state));
         }
-        self.assign_gang_to_machines(ix, job_state, &mut demand);
+        self.assign_gang_to_machines(ix, job_state, &mut demand, None);
         let need = &job_state.spec.task_resources;
         self.use_pending_requests(job_state, |zone, machine_type| {
             demand.assign(zone, need.max_count_in(&machine_type.capacity)) > 0
         });
         self.request_machines_for_gang(job_state, &mut demand);
+        // If no other machine can be had for the job now, it is retried where it has failed.
+        let blocker = Some(PlacementBlocker::FailedBefore);
+        self.assign_gang_to_machines(ix, job_state, &mut demand, blocker);
     }
 
-    fn assign_gang_to_machines(&mut self, ix: JobIx, job_state: &JobState, demand: &mut ZoneDemand) {
+    /// Assigns the gang to the machines with this planning blocker.
+    fn assign_gang_to_machines(
+        &mut self,
+        ix: JobIx,
+        job_state: &JobState,
+        demand: &mut ZoneDemand,
+        blocker: Option<PlacementBlocker>,
+    ) {
         let leader = self.leader;
         for planned in &mut self.planned_machines {
             if demand.is_met() {
                 break;
             }
             let machine = &leader.cluster.machines[planned.ix.index()];
-            if self.gang_machines.contains(planned.ix)
-                || !job_state.spec.allows(machine.machine_type, machine.zone, machine.spot)
-            {
+            let has_blocker = leader.planning_blocker(planned.ix, job_state) == blocker;
+            if self.gang_machines.contains(planned.ix) || !has_blocker {
                 continue;
             }
             let assigned = demand.assign(machine.zone, leader.gang_capacity(ix, job_state, planned.ix));
@@ -50,8 +60,7 @@
 
     fn request_machines_for_gang(&mut self, job_state: &JobState, demand: &mut ZoneDemand) {
         let leader = self.leader;
-        // No machines are requested for a job that is itself at fault: it would fail on them too.
-        while !demand.is_met() && !job_state.is_at_fault() {
+        while !demand.is_met() && job_state.may_rent_machines(self.clock.now) {
             let zone_allowed = |zone: ZoneIx| demand.available(zone) > 0;
             let Some(offer) = leader.cheapest_offer(job_state, self.clock, zone_allowed) else { return };
             let Some(machine_type) = leader.cluster.machine_types.get(&offer.machine_type) else { return };
@@ -69,7 +78,8 @@
         for planned in &self.planned_machines {
             let machine = &self.leader.cluster.machines[planned.ix.index()];
             let slots = self.leader.gang_capacity(ix, job_state, planned.ix);
-            if !self.gang_machines.contains(planned.ix) && slots > 0 {
+            let is_blocked = self.leader.planning_blocker(planned.ix, job_state).is_some();
+            if !self.gang_machines.contains(planned.ix) && !is_blocked && slots > 0 {
                 *slots_by_zone.entry(machine.zone).or_default() += slots;
             }
         }
@@ -89,9 +99,6 @@
     /// Returns the number of tasks of a gang for which a machine has capacity. A machine that is held for
     /// this gang counts with its whole capacity.
     fn gang_capacity(&self, job: JobIx, job_state: &JobState, ix: MachineIx) -> u64 {
-        if job_state.failed_on.contains(&ix) {
-            return 0;
-        }
         let machine = &self.cluster.machines[ix.index()];
         let held = machine.hold.is_some_and(|hold| hold.job == job);
         let free = if held { machine.capacity } else { machine.free() };
--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -13,7 +13,7 @@
 use super::probation::Probation;
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::eligibility::PlacementBlocker;
-use crate::coordination::leader::{Binding, JobState, Leader};
+use crate::coordination::leader::{Binding, JobState, Leader, MachineState};
 use crate::ids::{JobId, JobIx, MachineIx, Millis};
 
 /// A machine is quarantined after this many different jobs have failed on it.
@@ -25,6 +25,9 @@
 const JOB_FAULT_MACHINES: usize = 3;
 /// The same threshold for gangs and services, which succeed only as a whole.
 const GANG_FAULT_MACHINES: usize = 2 * JOB_FAULT_MACHINES;
+/// Once a job has failed as often as one that is at fault itself, machines are rented for it again only this long after
+/// it has failed on a further machine. That bounds what it may rent: the machines of one attempt in this time.
+const RENTAL_RETRY_MS: u64 = 600_000;
 /// Delay before a failed task is attempted again, before the job's backoff factor.
 pub(super) const ERROR_RETRY_DELAY_MS: u64 = 1_000;
 /// Repeated failures double the delay at most this many times.
@@ -34,7 +37,12 @@
     /// Returns the number of machines on which the job has failed. A machine counts again if the job fails on
     /// it after its exclusion was lifted.
     fn failure_count(&self) -> usize {
-        self.failed_on.len() + self.retried_exclusions
+        self.excluded_machines.len() + self.retried_exclusions
+    }
+
+    /// Returns after how many failures a job is at fault itself.
+    fn fault_threshold(&self) -> usize {
+        if self.spec.is_all_or_nothing() { GANG_FAULT_MACHINES } else { JOB_FAULT_MACHINES }
     }
 
     /// Returns the factor by which the delay before the next attempt is multiplied. From `JOB_FAULT_MACHINES`
@@ -48,16 +56,28 @@
         self.finished_runs > 0 || !self.finished.is_empty()
     }
 
-    /// Returns whether the job itself is at fault, and not the machines on which it failed.
-    pub(in crate::coordination::leader) fn is_at_fault(&self) -> bool {
-        let threshold = if self.spec.is_all_or_nothing() { GANG_FAULT_MACHINES } else { JOB_FAULT_MACHINES };
-        !self.has_succeeded() && self.failure_count() >= threshold
+    /// Returns whether machines may be rented for the job. One that has failed as often as a job that is at fault
+    /// itself, on whatever machines, has to wait after each further machine on which it fails. It is never given up: the
+    /// machines may have been at fault.
+    pub(in crate::coordination::leader) fn may_rent_machines(&self, now: Millis) -> bool {
+        now >= self.rental_not_before
+    }
+
+    /// Records that a task of the job failed on the machine.
+    fn record_failure_on(&mut self, ix: MachineIx, now: Millis) {
+        self.excluded_machines.insert(ix);
+        let is_first_on_machine = self.failed_on.insert(ix);
+        if is_first_on_machine && self.failure_count() >= self.fault_threshold() {
+            self.rental_not_before = now.saturating_add(RENTAL_RETRY_MS);
+        }
     }
 
     /// Clears all failures after a success, and returns whether the job was on probation.
     pub(super) fn reset_failures(&mut self) -> bool {
         self.failed_on.clear();
+        self.excluded_machines.clear();
         self.retried_exclusions = 0;
+        self.rental_not_before = Millis::default();
         self.probation.take().is_some()
     }
 
@@ -75,46 +95,93 @@
     }
 }
 
+/// Whether there are machines on which a job has not failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UntriedMachines {
+    /// There is at least one.
+    Some,
+    /// The job has failed on each machine that it may use.
+    OnlyFailed,
+    /// There is no machine that the job may use.
+    None,
+}
+
 impl Leader {
+    /// Returns whether the job itself is at fault, and not the machines on which it failed. A gang or service is only
+    /// if it has failed on several machines that still exist: it gets no capacity freed for it then, so repeated
+    /// failures on one faulty machine must not count.
+    pub(in crate::coordination::leader) fn is_at_fault(&self, job_state: &JobState) -> bool {
+        let failures = if job_state.spec.is_all_or_nothing() {
+            let exists = |ix: &&MachineIx| self.cluster.machines[ix.index()].state != MachineState::Gone;
+            job_state.failed_on.iter().filter(exists).count()
+        } else {
+            job_state.failure_count()
+        };
+        !job_state.has_succeeded() && failures >= job_state.fault_threshold()
+    }
+
     /// Lifts the exclusion of machines for jobs that have failed on every machine they may use, after growing
-    /// delays. With few machines, one failure on each would otherwise keep such a job waiting forever.
+    /// delays. With few machines, one failure on each would otherwise keep such a job waiting forever. Once there is
+    /// another machine, the job is excluded again from those on which it has failed.
     pub(in crate::coordination::leader) fn retry_after_exclusion(&mut self, clock: Clock) {
-        let is_due = |job_state: &JobState| {
-            !job_state.failed_on.is_empty() && clock.now >= job_state.retry_exclusion_not_before
-        };
-        let excluded: Vec<JobIx> = self
+        let failed: Vec<JobIx> = self
             .workload
             .jobs
             .iter()
-            .filter(|(_, job_state)| is_due(job_state) && self.has_failed_everywhere(job_state))
+            .filter(|(_, job_state)| !job_state.failed_on.is_empty())
             .map(|(ix, _)| *ix)
             .collect();
-        for ix in excluded {
-            let Some(job_state) = self.workload.jobs.get_mut(&ix) else { continue };
-            let id = job_state.spec.id;
-            log::info!(event = "retry_after_exclusion", job:% = id; "retry after exclusion: {id} had failed on every machine it may use");
-            job_state.retried_exclusions += job_state.failed_on.len();
-            job_state.failed_on.clear();
-            let delay_ms = ERROR_RETRY_DELAY_MS * job_state.failure_backoff_factor();
-            job_state.retry_exclusion_not_before = clock.now.saturating_add(delay_ms);
-            self.on_exclusions_lifted(ix);
+        for ix in failed {
+            let Some(job_state) = self.workload.jobs.get(&ix) else { continue };
+            let is_excluded = !job_state.excluded_machines.is_empty();
+            let is_due = clock.now >= job_state.retry_exclusion_not_before;
+            match self.untried_machines(job_state) {
+                UntriedMachines::Some if job_state.excluded_machines.len() < job_state.failed_on.len() => {
+                    self.exclude_failed_machines(ix);
+                }
+                UntriedMachines::OnlyFailed if is_excluded && is_due => self.lift_exclusions(ix, clock),
+                _ => {}
+            }
+        }
+    }
+
+    fn lift_exclusions(&mut self, ix: JobIx, clock: Clock) {
+        let Some(job_state) = self.workload.jobs.get_mut(&ix) else { return };
+        let id = job_state.spec.id;
+        log::info!(event = "retry_after_exclusion", job:% = id; "retry after exclusion: {id} had failed on every machine it may use");
+        job_state.retried_exclusions += job_state.excluded_machines.len();
+        job_state.excluded_machines.clear();
+        let delay_ms = ERROR_RETRY_DELAY_MS * job_state.failure_backoff_factor();
+        job_state.retry_exclusion_not_before = clock.now.saturating_add(delay_ms);
+        self.on_exclusions_lifted(ix);
+    }
+
+    /// Excludes the job again from all machines on which it has failed. The number of failures stays the same.
+    fn exclude_failed_machines(&mut self, ix: JobIx) {
+        let Some(job_state) = self.workload.jobs.get_mut(&ix) else { return };
+        let readded: Vec<MachineIx> =
+            job_state.failed_on.difference(&job_state.excluded_machines).copied().collect();
+        job_state.retried_exclusions = job_state.retried_exclusions.saturating_sub(readded.len());
+        job_state.excluded_machines.extend(&readded);
+        for machine in readded {
+            self.requeue_job_from_machine(machine, ix);
         }
     }
 
-    /// Returns whether the job has failed on every machine that could run its tasks. Cordoned and
-    /// reserved machines take only gangs and services.
-    fn has_failed_everywhere(&self, job_state: &JobState) -> bool {
+    /// Returns which machines can run the job's tasks, now or later. Cordoned and reserved machines take only gangs and
+    /// services.
+    fn untried_machines(&self, job_state: &JobState) -> UntriedMachines {
         let placement_index = &self.cluster.placement_index;
-        let mut has_failed = false;
+        let mut result = UntriedMachines::None;
         for ix in placement_index.schedulable() {
             let usable = job_state.spec.is_all_or_nothing() || placement_index.accepts_queued(*ix);
-            match self.machine_blocker(*ix, job_state) {
-                None if usable => return false,
-                Some(PlacementBlocker::FailedBefore) => has_failed = true,
+            match self.planning_blocker(*ix, job_state) {
+                None if usable => return UntriedMachines::Some,
+                Some(PlacementBlocker::FailedBefore) => result = UntriedMachines::OnlyFailed,
                 _ => {}
             }
         }
-        has_failed
+        result
     }
 
     /// Records that a task failed on a machine, and quarantines the machine or starts the job's probation.
@@ -123,9 +190,9 @@
         log::info!(event = "failed", task:% = binding.task, machine; "task {} failed on machine {machine}", binding.task);
         let Some(job) = binding.job else { return };
         let Some(job_state) = self.workload.jobs.get_mut(&job) else { return };
-        job_state.failed_on.insert(ix);
-        if job_state.is_at_fault() {
-            let id = job_state.spec.id;
+        job_state.record_failure_on(ix, clock.now);
+        let id = job_state.spec.id;
+        if self.workload.jobs.get(&job).is_some_and(|job_state| self.is_at_fault(job_state)) {
             self.clear_machine_failures(id);
             self.start_probation(job, clock);
         } else {
--- a/src/coordination/leader/machines/task_status.rs
+++ b/src/coordination/leader/machines/task_status.rs
@@ -175,7 +175,7 @@
         machine.recent_finishes.push(clock.now);
         let Some(job) = binding.job else { return };
         let Some(job_state) = self.workload.jobs.get_mut(&job) else { return };
-        let had_exclusions = !job_state.failed_on.is_empty();
+        let had_exclusions = !job_state.excluded_machines.is_empty();
         let was_on_probation = job_state.reset_failures();
         // Only runs whose start this leader observed are measured.
         if let Some(since) = binding.running_since {
--- a/src/coordination/leader/placement/eligibility.rs
+++ b/src/coordination/leader/placement/eligibility.rs
@@ -68,7 +68,7 @@
             Some(PlacementBlocker::NotAllowed)
         } else if !job.spec.task_resources.fits_in(&machine.capacity) {
             Some(PlacementBlocker::TooSmall)
-        } else if job.failed_on.contains(&machine_ix) {
+        } else if job.excluded_machines.contains(&machine_ix) {
             Some(PlacementBlocker::FailedBefore)
         } else {
             None
--- a/src/coordination/leader/placement/gang_search_cache.rs
+++ b/src/coordination/leader/placement/gang_search_cache.rs
@@ -81,7 +81,7 @@
         capacity_growth_count: u64,
         now: Millis,
     ) {
-        if !job.failed_on.is_empty() || !job.tasks_per_zone.is_empty() {
+        if !job.excluded_machines.is_empty() || !job.tasks_per_zone.is_empty() {
             return;
         }
         self.0.retain(|_, failure| now < failure.expires_at);
--- a/src/coordination/leader/placement/gangs.rs
+++ b/src/coordination/leader/placement/gangs.rs
@@ -82,7 +82,7 @@
         let count = tasks.len();
         self.counters.gang_searches += 2;
         let free = self.find_gang_placement(rank.job, count, PlacementMethod::Free, clock);
-        if free.is_none() && self.workload.jobs.get(&rank.job).is_some_and(JobState::is_at_fault) {
+        if free.is_none() && self.workload.jobs.get(&rank.job).is_some_and(|job| self.is_at_fault(job)) {
             // The job has failed on several machines and succeeded on none, so no task is stopped and no machine is
             // held for it.
             return GangOutcome::Settled;
--- a/src/coordination/leader/placement/mod.rs
+++ b/src/coordination/leader/placement/mod.rs
@@ -3,6 +3,7 @@
 //! Placement depends on the leader's state alone: it does no I/O, each call passes in the time, and all randomness is
 //! drawn from the seeded generator in [`state`].
 
+pub(in crate::coordination::leader) mod availability;
 mod best_effort;
 mod binding;
 mod dispatch;
--- a/src/coordination/leader/workload.rs
+++ b/src/coordination/leader/workload.rs
@@ -43,12 +43,17 @@
     pub finished_runs: u32,
     /// Sum of the run times of these runs, in milliseconds.
     pub total_run_ms: u64,
-    /// Machines excluded because tasks of the job have failed on them since one last succeeded.
+    /// Machines on which tasks of the job have failed since one last succeeded. No capacity is planned for it there.
     pub failed_on: HashSet<MachineIx>,
+    /// The machines of `failed_on` on which placement starts no task of the job.
+    pub excluded_machines: HashSet<MachineIx>,
     /// Number of exclusions lifted for a retry since a task last succeeded.
     pub retried_exclusions: usize,
     /// Earliest time at which exclusions are lifted again.
     pub retry_exclusion_not_before: Millis,
+    /// Earliest time at which machines are rented for the job again, once it has failed as often as a job that is at
+    /// fault itself.
+    pub rental_not_before: Millis,
     /// Set while the job fails on every machine: only one task at a time is started.
     pub probation: Option<Probation>,
     /// The job's terminal record is queued or being written.
@@ -71,8 +76,10 @@
             finished_runs: 0,
             total_run_ms: 0,
             failed_on: HashSet::new(),
+            excluded_machines: HashSet::new(),
             retried_exclusions: 0,
             retry_exclusion_not_before: Millis::default(),
+            rental_not_before: Millis::default(),
             probation: None,
             finishing: false,
             first_run,
