Capacity plan and placement share one answer to what a machine can run, and when

Cause: the plan took a service's run time from its estimate, 0, and gave every task past its estimate one more second, in each plan again; it compared CPU time only. The search for gangs held such machines again and again, and the plan counted a held machine as empty. A second fault beside it: tasks waited in the dedicated queue of a machine on which a service leaves no room.

Change: placement/availability forecasts the room of a machine (CPUs, memory, accelerators, number of tasks) from the expected ends of its tasks. A service has none; a task past its estimate is expected to run on for as long as it has overrun it; a stopping one ends after its grace period. Plan, gang search, queues and the retries of failed jobs use it.

--- a/src/coordination/leader/binding.rs
+++ b/src/coordination/leader/binding.rs
@@ -43,6 +43,8 @@
     pub pool: Option<PoolIx>,
     /// The task is a best-effort task. Together, these may use only part of the cluster.
     pub best_effort: bool,
+    /// The task belongs to a service: it does not end by itself.
+    pub service: bool,
     /// It is being stopped because it, or another task of its gang, exceeded the time limit of its DAG node.
     pub timed_out: bool,
     /// Progress of starting the task.
--- a/src/coordination/leader/machine.rs
+++ b/src/coordination/leader/machine.rs
@@ -78,6 +78,8 @@
     pub bindings: Vec<Binding>,
     /// Sum of the resources that `bindings` need.
     pub used: Resources,
+    /// The part of `used` that belongs to tasks of services, which do not end by themselves.
+    pub service_use: Resources,
     /// Resources of the machine when it is empty.
     pub capacity: Resources,
     /// Tasks that other machines may steal (DAWS, section 2.2.2).
@@ -176,6 +178,7 @@
             return_log_segment: None,
             bindings: Vec::new(),
             used: Resources::default(),
+            service_use: Resources::default(),
             capacity,
             shared_queue: Queue::default(),
             dedicated_queue: Queue::default(),
--- a/src/coordination/leader/machines/capacity_plan/array_demand.rs
+++ b/src/coordination/leader/machines/capacity_plan/array_demand.rs
@@ -2,10 +2,10 @@
 //! tasks.
 
 use super::CapacityPlan;
-use super::planned_machines::cpu_ms;
+use super::planned_machines::{cpu_ms, slots_cpu};
 use crate::coordination::leader::machines::provisioner::MIN_BILLED_MS;
 use crate::coordination::leader::placement::eligibility::PlacementBlocker;
-use crate::coordination::leader::{JobState, MachineType};
+use crate::coordination::leader::{JobState, Leader, MachineType};
 
 /// The minimum planning horizon, even for a job that is late.
 const MIN_HORIZON_MS: u64 = 10_000;
@@ -56,10 +56,12 @@
     /// minimum billed time, whichever is longer, less the boot time, but enough for one run. Counting all of
     /// the billed time keeps a plan from requesting more machines than have work for the time that is paid
     /// for.
-    fn usable_cpu_ms(&self, machine_type: &MachineType) -> u64 {
+    fn usable_cpu_ms(&self, machine_type: &MachineType, leader: &Leader) -> u64 {
         let billed_ms = self.horizon_ms.max(MIN_BILLED_MS);
         let usable_ms = billed_ms.saturating_sub(machine_type.boot_ms).max(self.run_ms);
-        cpu_ms(machine_type.capacity.cpu, usable_ms).max(1)
+        let need = &self.job_state.spec.task_resources;
+        let slots = leader.empty_room(machine_type.capacity).slots(need);
+        cpu_ms(slots_cpu(slots, need).min(machine_type.capacity.cpu), usable_ms).max(1)
     }
 }
 
@@ -70,16 +72,17 @@
         for (ix, _) in job_state.placements.values().flatten() {
             self.needed_machines.insert(*ix);
         }
-        let waiting = job_state.waiting_tasks().min(self.leader.best_effort_slots(job_state));
+        let leader = self.leader;
+        let waiting = job_state.waiting_tasks().min(leader.best_effort_slots(job_state));
         if waiting == 0 {
             return;
         }
-        let fraction = self.leader.tunables.start_deadline_fraction;
+        let fraction = leader.tunables.start_deadline_fraction;
         let mut demand = ArrayDemand::new(job_state, waiting, time_left_ms, fraction);
         self.assign_array_to_machines(&mut demand, None);
         self.assign_array_to_spare_capacity(&mut demand);
         self.use_pending_requests(job_state, |_, machine_type| {
-            demand.assign(demand.usable_cpu_ms(machine_type)) > 0
+            demand.assign(demand.usable_cpu_ms(machine_type, leader)) > 0
         });
         self.request_machines_for_array(&mut demand);
         // If no other machine can be had for the job now, it is retried where it has failed.
@@ -95,7 +98,7 @@
             if self.leader.planning_blocker(planned.ix, demand.job_state) != blocker {
                 continue;
             }
-            let assigned = demand.assign(planned.free_cpu_ms(demand.horizon_ms));
+            let assigned = demand.assign(planned.usable_cpu_ms(demand.job_state, demand.horizon_ms));
             if assigned > 0 {
                 planned.reserved_cpu_ms += assigned;
                 self.needed_machines.insert(planned.ix);
@@ -106,7 +109,9 @@
     fn assign_array_to_spare_capacity(&mut self, demand: &mut ArrayDemand<'_>) {
         let spec = &demand.job_state.spec;
         for (offer, spare_cpu_ms) in &mut self.spare_capacity {
-            if spec.allows(offer.machine_type, offer.zone, offer.spot) {
+            let machine_type = self.leader.cluster.machine_types.get(&offer.machine_type);
+            let fits = machine_type.is_some_and(|found| spec.task_resources.fits_in(&found.capacity));
+            if fits && spec.allows(offer.machine_type, offer.zone, offer.spot) {
                 *spare_cpu_ms -= demand.assign(*spare_cpu_ms);
             }
         }
@@ -122,7 +127,7 @@
             let offer = leader.cheapest_offer(demand.job_state, self.clock, |_| true);
             let Some(offer) = offer else { return };
             let Some(machine_type) = leader.cluster.machine_types.get(&offer.machine_type) else { return };
-            let usable_cpu_ms = demand.usable_cpu_ms(machine_type);
+            let usable_cpu_ms = demand.usable_cpu_ms(machine_type, leader);
             let spare_cpu_ms = usable_cpu_ms - demand.assign(usable_cpu_ms);
             *self.spare_capacity.entry(offer).or_default() += spare_cpu_ms;
             *self.wanted_offers.entry(offer).or_default() += 1;
--- a/src/coordination/leader/machines/capacity_plan/gang_demand.rs
+++ b/src/coordination/leader/machines/capacity_plan/gang_demand.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 
 use super::CapacityPlan;
-use super::planned_machines::cpu_ms;
+use super::planned_machines::{PlannedMachine, cpu_ms};
 use super::zone_demand::ZoneDemand;
 use crate::coordination::leader::placement::eligibility::PlacementBlocker;
 use crate::coordination::leader::{JobState, Leader};
-use crate::ids::{JobIx, MachineIx, ZoneIx};
+use crate::ids::{JobIx, ZoneIx};
 
 impl CapacityPlan<'_> {
     /// Assigns a waiting gang to machines, then to pending requests, and requests the missing machines.
@@ -20,9 +20,10 @@
             demand.require_zone(self.choose_zone(ix, job_state));
         }
         self.assign_gang_to_machines(ix, job_state, &mut demand, None);
+        let leader = self.leader;
         let need = &job_state.spec.task_resources;
         self.use_pending_requests(job_state, |zone, machine_type| {
-            demand.assign(zone, need.max_count_in(&machine_type.capacity)) > 0
+            demand.assign(zone, leader.empty_room(machine_type.capacity).slots(need)) > 0
         });
         self.request_machines_for_gang(job_state, &mut demand);
         // If no other machine can be had for the job now, it is retried where it has failed.
@@ -43,12 +44,12 @@
             if demand.is_met() {
                 break;
             }
-            let machine = &leader.cluster.machines[planned.ix.index()];
             let has_blocker = leader.planning_blocker(planned.ix, job_state) == blocker;
             if self.gang_machines.contains(planned.ix) || !has_blocker {
                 continue;
             }
-            let assigned = demand.assign(machine.zone, leader.gang_capacity(ix, job_state, planned.ix));
+            let zone = leader.cluster.machines[planned.ix.index()].zone;
+            let assigned = demand.assign(zone, leader.gang_slots(ix, job_state, planned));
             if assigned > 0 {
                 self.gang_machines.insert(planned.ix);
                 self.needed_machines.insert(planned.ix);
@@ -64,7 +65,7 @@
             let zone_allowed = |zone: ZoneIx| demand.available(zone) > 0;
             let Some(offer) = leader.cheapest_offer(job_state, self.clock, zone_allowed) else { return };
             let Some(machine_type) = leader.cluster.machine_types.get(&offer.machine_type) else { return };
-            let slots = job_state.spec.task_resources.max_count_in(&machine_type.capacity).max(1);
+            let slots = leader.empty_room(machine_type.capacity).slots(&job_state.spec.task_resources).max(1);
             demand.assign(offer.zone, slots);
             *self.wanted_offers.entry(offer).or_default() += 1;
         }
@@ -77,9 +78,12 @@
         let mut slots_by_zone: BTreeMap<ZoneIx, u64> = BTreeMap::new();
         for planned in &self.planned_machines {
             let machine = &self.leader.cluster.machines[planned.ix.index()];
-            let slots = self.leader.gang_capacity(ix, job_state, planned.ix);
             let is_blocked = self.leader.planning_blocker(planned.ix, job_state).is_some();
-            if !self.gang_machines.contains(planned.ix) && !is_blocked && slots > 0 {
+            if is_blocked || self.gang_machines.contains(planned.ix) {
+                continue;
+            }
+            let slots = self.leader.gang_slots(ix, job_state, planned);
+            if slots > 0 {
                 *slots_by_zone.entry(machine.zone).or_default() += slots;
             }
         }
@@ -96,12 +100,12 @@
 }
 
 impl Leader {
-    /// Returns the number of tasks of a gang for which a machine has capacity. A machine that is held for
-    /// this gang counts with its whole capacity.
-    fn gang_capacity(&self, job: JobIx, job_state: &JobState, ix: MachineIx) -> u64 {
-        let machine = &self.cluster.machines[ix.index()];
+    /// Returns the number of tasks of a gang for which a machine has capacity now or, if it is held for this gang, by the
+    /// time at which a hold expires.
+    fn gang_slots(&self, job: JobIx, job_state: &JobState, planned: &PlannedMachine) -> u64 {
+        let machine = &self.cluster.machines[planned.ix.index()];
         let held = machine.hold.is_some_and(|hold| hold.job == job);
-        let free = if held { machine.capacity } else { machine.free() };
-        job_state.spec.task_resources.max_count_in(&free)
+        let within_ms = if held { self.machine_hold_ms() } else { 0 };
+        planned.slots_within(&job_state.spec.task_resources, within_ms)
     }
 }
--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -176,7 +176,7 @@
         for ix in placement_index.schedulable() {
             let usable = job_state.spec.is_all_or_nothing() || placement_index.accepts_queued(*ix);
             match self.planning_blocker(*ix, job_state) {
-                None if usable => return UntriedMachines::Some,
+                None if usable && self.has_lasting_room(*ix, job_state) => return UntriedMachines::Some,
                 Some(PlacementBlocker::FailedBefore) => result = UntriedMachines::OnlyFailed,
                 _ => {}
             }
--- a/src/coordination/leader/machines/provisioner/offers.rs
+++ b/src/coordination/leader/machines/provisioner/offers.rs
@@ -10,9 +10,6 @@
 /// Fraction by which each machine already requested of an offer raises the offer's cost, so that requests
 /// alternate between zones.
 const PENDING_REQUEST_SURCHARGE: f64 = 0.01;
-/// The maximum number of tasks that count as fitting a machine. Tasks that need no resources would fit
-/// without limit.
-const MAX_TASK_SLOTS: u64 = 1_000_000;
 
 /// A combination of machine type, zone and purchase option (on demand or spot) that the cloud offers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -76,7 +73,7 @@
         let pending = self.provisioner.pending_requests();
         let mut best: Option<(f64, InstanceOffer)> = None;
         for (type_ix, machine_type) in &self.cluster.machine_types {
-            let mut slots = spec.task_resources.max_count_in(&machine_type.capacity).min(MAX_TASK_SLOTS);
+            let mut slots = self.empty_room(machine_type.capacity).slots(&spec.task_resources);
             if slots == 0 || !spec.allows_machine_type(*type_ix) {
                 continue;
             }
--- a/src/coordination/leader/machines/provisioner/scale_in.rs
+++ b/src/coordination/leader/machines/provisioner/scale_in.rs
@@ -91,11 +91,7 @@
     /// Returns whether a booting machine should have sent a heartbeat long ago. A machine that was up before
     /// this term may still be looking for the leader: without that allowance, a new leader returned 147 idle
     /// machines within a second and provisioned them anew.
-    pub(in crate::coordination::leader::machines) fn is_boot_overdue(
-        &self,
-        machine: &Machine,
-        clock: Clock,
-    ) -> bool {
+    pub(in crate::coordination::leader) fn is_boot_overdue(&self, machine: &Machine, clock: Clock) -> bool {
         let machine_type = self.cluster.machine_types.get(&machine.machine_type);
         let boot_ms = machine_type.map_or(DEFAULT_BOOT_MS, |machine_type| machine_type.boot_ms);
         let timeout_ms = boot_ms * BOOT_TIMEOUT_FACTOR + BOOT_TIMEOUT_MARGIN_MS;
--- a/src/coordination/leader/machines/task_status.rs
+++ b/src/coordination/leader/machines/task_status.rs
@@ -220,6 +220,7 @@
         team: None,
         pool: None,
         best_effort: false,
+        service: false,
         timed_out: false,
         dispatch: DispatchState::Observed,
         log_segment: None,
--- a/src/coordination/leader/placement/binding.rs
+++ b/src/coordination/leader/placement/binding.rs
@@ -5,6 +5,7 @@
 use crate::coordination::leader::{Binding, DispatchState, Leader};
 use crate::ids::{Attempt, JobIx, MachineIx, TaskId};
 use crate::protocol::operators::JobEventKind;
+use crate::protocol::users::JobKind;
 
 impl Leader {
     /// Binds the task to the machine and queues the record of the binding.
@@ -24,6 +25,9 @@
         self.record_start(job_ix);
         self.event_log.record(spec.id, JobEventKind::Bound, Some(machine_ix), task, 1);
         self.add_binding(machine_ix, binding);
+        if spec.kind == JobKind::Service {
+            self.requeue_tasks_without_room(machine_ix);
+        }
         self.assignment_log.queue_start(start);
         self.counters.tasks_bound += 1;
     }
@@ -48,6 +52,7 @@
             team: Some(spec.team),
             pool: spec.pool(),
             best_effort: self.is_best_effort(spec),
+            service: spec.kind == JobKind::Service,
             timed_out: false,
             dispatch: DispatchState::Planned,
             log_segment: None,
--- a/src/coordination/leader/placement/eligibility.rs
+++ b/src/coordination/leader/placement/eligibility.rs
@@ -76,7 +76,7 @@
     }
 
     /// Returns whether tasks of this job may run on this machine, regardless of free capacity, zone rules and quotas.
-    pub(super) fn is_eligible(&self, machine_ix: MachineIx, job: &JobState) -> bool {
+    pub(in crate::coordination::leader) fn is_eligible(&self, machine_ix: MachineIx, job: &JobState) -> bool {
         self.machine_blocker(machine_ix, job).is_none()
     }
 
--- a/src/coordination/leader/placement/gang_search.rs
+++ b/src/coordination/leader/placement/gang_search.rs
@@ -12,7 +12,7 @@
 use crate::coordination::leader::placement::holds::PlacementMethod;
 use crate::coordination::leader::placement::preemption_cost::{BorrowedClaim, PreemptionPolicy};
 use crate::coordination::leader::{JobState, Leader, Machine};
-use crate::ids::{JobIx, MachineIx, MachineTypeIx, Resources, TeamIx, ZoneIx};
+use crate::ids::{JobIx, MachineIx, MachineTypeIx, TeamIx, ZoneIx};
 
 /// Estimated time until a stop command has reached a worker and its effect is known to the leader.
 const STOP_LATENCY_MS: u64 = 500;
@@ -40,7 +40,8 @@
 
 /// Capacity of a machine that is free or can be freed for a gang.
 struct CapacityEstimate {
-    free: Resources,
+    /// Number of tasks of the gang that fit into it.
+    slots: u64,
     /// Cost of freeing it in milliseconds: waiting time, and lost work divided by the CPUs of one task.
     delay_ms: u64,
     /// Borrowed capacity that is reclaimed by freeing it.
@@ -141,16 +142,17 @@
             return None;
         }
         let estimate = match method {
-            PlacementMethod::Free => {
-                CapacityEstimate { free: machine.free(), delay_ms: 0, claims: Vec::new() }
-            }
+            PlacementMethod::Free => CapacityEstimate {
+                slots: self.present_room(machine).slots(need),
+                delay_ms: 0,
+                claims: Vec::new(),
+            },
             PlacementMethod::Preempt => self.free_after_preemption(machine, job, policy, clock),
-            PlacementMethod::Drain => self.free_after_drain(machine, job, clock),
+            PlacementMethod::Drain => self.free_after_drain(machine_ix, job, clock)?,
         };
-        let slots = need.max_count_in(&estimate.free).min(self.placement.max_tasks_per_record as u64);
-        (slots > 0).then(|| Candidate {
+        (estimate.slots > 0).then(|| Candidate {
             delay_ms: estimate.delay_ms + self.image_fetch_ms(machine, job),
-            slots,
+            slots: estimate.slots,
             machine_ix,
             claims: estimate.claims,
         })
@@ -225,28 +227,22 @@
         (job.spec.image_mb as f64 / mb_per_s.max(1.0) * MS_PER_S) as u64
     }
 
-    /// Estimates the free capacity once enough of the machine's tasks have ended for one task of the job to fit. It is
-    /// zero if that takes longer than a machine may be held.
-    fn free_after_drain(&self, machine: &Machine, job: &JobState, clock: Clock) -> CapacityEstimate {
-        let mut free = machine.free();
-        let mut remaining: Vec<(u64, Resources)> = machine
-            .bindings
-            .iter()
-            .map(|binding| (self.remaining_run_ms(binding, clock), binding.need))
-            .collect();
-        remaining.sort_by_key(|(remaining_ms, _)| *remaining_ms);
-        let mut delay_ms = 0;
-        for (remaining_ms, need) in remaining {
-            if job.spec.task_resources.fits_in(&free) {
-                break;
-            }
-            free.add(&need);
-            delay_ms = remaining_ms;
-        }
-        if delay_ms > self.machine_hold_ms() {
-            free = Resources::default();
-        }
-        CapacityEstimate { free, delay_ms, claims: Vec::new() }
+    /// Estimates the free capacity once enough of the machine's tasks have ended for one task of the job to fit. `None`
+    /// if that takes longer than a machine may be held.
+    fn free_after_drain(
+        &self,
+        machine_ix: MachineIx,
+        job: &JobState,
+        clock: Clock,
+    ) -> Option<CapacityEstimate> {
+        let forecast = self.room_forecast(machine_ix, clock)?;
+        let (delay_ms, room) = forecast.first_fit(&job.spec.task_resources)?;
+        let slots = room.slots(&job.spec.task_resources);
+        (delay_ms <= self.machine_hold_ms()).then_some(CapacityEstimate {
+            slots,
+            delay_ms,
+            claims: Vec::new(),
+        })
     }
 
     /// Estimates the free capacity once enough tasks that are less urgent or use borrowed capacity have stopped for
@@ -265,7 +261,7 @@
         let wait_ms = stop_times.fold(stopping_ms, u64::max);
         let lost_work: u64 = plan.victims.iter().map(|victim| victim.cost.lost_work).sum();
         CapacityEstimate {
-            free: plan.free,
+            slots: need.max_count_in(&plan.free).min(self.placement.max_tasks_per_record as u64),
             delay_ms: wait_ms + lost_work / need.cpu.max(1),
             claims: plan.victims.iter().filter_map(|victim| victim.cost.borrowed_claim).collect(),
         }
--- a/src/coordination/leader/placement/holds.rs
+++ b/src/coordination/leader/placement/holds.rs
@@ -31,7 +31,7 @@
 
 impl Leader {
     /// Returns the duration of a hold in milliseconds.
-    pub(super) fn machine_hold_ms(&self) -> u64 {
+    pub(in crate::coordination::leader) fn machine_hold_ms(&self) -> u64 {
         (self.tunables.machine_hold_s * MS_PER_S) as u64
     }
 
--- a/src/coordination/leader/placement/preemption.rs
+++ b/src/coordination/leader/placement/preemption.rs
@@ -215,7 +215,7 @@
         if binding.stop_grace_ms.is_some() || spec.is_all_or_nothing() {
             return None;
         }
-        let remaining_ms = self.remaining_run_ms(binding, clock);
+        let remaining_ms = self.remaining_run_ms(binding, clock)?;
         let cost = self.preemption_cost(binding, policy, clock)?;
         let lost_ms = cost.lost_work / binding.need.cpu.max(1);
         let is_worthwhile = remaining_ms > MIN_REMAINING_MS && remaining_ms > MIN_GAIN_RATIO * lost_ms;
--- a/src/coordination/leader/placement/preemption_cost.rs
+++ b/src/coordination/leader/placement/preemption_cost.rs
@@ -6,7 +6,6 @@
 
 use crate::bookkeeping::jobs::JobSpec;
 use crate::coordination::Clock;
-use crate::coordination::leader::placement::MILLI;
 use crate::coordination::leader::{Binding, JobState, Leader, Machine};
 use crate::ids::{JobIx, Resources, TeamIx};
 use crate::protocol::users::{JobKind, PriorityClass};
@@ -186,11 +185,6 @@
         }
         PreemptionPlan { free, includes_stopping_tasks, victims }
     }
-
-    /// Returns the expected remaining run time of the task in milliseconds.
-    pub(super) fn remaining_run_ms(&self, binding: &Binding, clock: Clock) -> u64 {
-        self.remaining_cpu_ms(binding, clock) * MILLI / binding.need.cpu.max(1)
-    }
 }
 
 /// Returns whether the job has waited long enough to reclaim what other teams have borrowed.
--- a/src/coordination/leader/placement/queue_assignment.rs
+++ b/src/coordination/leader/placement/queue_assignment.rs
@@ -93,7 +93,7 @@
             .flatten()
             .chain(input_only_holders)
             .copied()
-            .filter(|ix| self.cluster.placement_index.accepts_queued(*ix) && self.is_eligible(*ix, job))
+            .filter(|ix| self.cluster.placement_index.accepts_queued(*ix) && self.may_queue(*ix, job))
             .collect()
     }
 
@@ -176,7 +176,7 @@
             input_holders.iter().copied().filter(|ix| self.cluster.placement_index.accepts_queued(*ix));
         let (rating, machine_ix) = sample
             .chain(open_input_holders)
-            .filter(|ix| self.is_eligible(*ix, job))
+            .filter(|ix| self.may_queue(*ix, job))
             .map(|ix| (self.rate_shared_queue(ix, job, &input_holders), ix))
             .min_by_key(|(rating, _)| *rating)?;
         Some(QueueChoice { machine_ix, free_slots: rating.free_slots.0 as usize })
@@ -217,7 +217,7 @@
     /// Moves the job's tasks of the backlog to the machines' queues, if there is an eligible machine now.
     pub(in crate::coordination::leader) fn enqueue_backlog_of(&mut self, rank: Rank) {
         let Some(job) = self.workload.jobs.get(&rank.job) else { return };
-        if !self.cluster.placement_index.queue_eligible().iter().any(|ix| self.is_eligible(*ix, job)) {
+        if !self.cluster.placement_index.queue_eligible().iter().any(|ix| self.may_queue(*ix, job)) {
             return;
         }
         let mut tasks = Vec::new();
--- a/src/coordination/leader/records/bindings.rs
+++ b/src/coordination/leader/records/bindings.rs
@@ -15,6 +15,9 @@
     pub(in crate::coordination::leader) fn add_binding(&mut self, ix: MachineIx, binding: Binding) {
         let machine = &mut self.cluster.machines[ix.index()];
         machine.used.add(&binding.need);
+        if binding.service {
+            machine.service_use.add(&binding.need);
+        }
         if binding.best_effort {
             self.placement.best_effort_cpu += binding.need.cpu;
         }
@@ -43,6 +46,11 @@
         let zone = machine.zone;
         let binding = machine.bindings.swap_remove(index);
         machine.used = machine.used.saturating_sub(&binding.need);
+        if binding.service {
+            machine.service_use = machine.service_use.saturating_sub(&binding.need);
+            // Tasks that had no lasting room on any machine may have it here now.
+            self.cluster.placement_index.recheck_backlog = true;
+        }
         if machine.bindings.is_empty() {
             machine.idle_since = clock.now;
         }
--- a/src/coordination/leader/records/recovery.rs
+++ b/src/coordination/leader/records/recovery.rs
@@ -12,6 +12,7 @@
 use crate::coordination::Clock;
 use crate::coordination::leader::{Binding, DispatchState, Leader, MachineIdentity, MachineState};
 use crate::ids::{Attempt, JobIx, MachineIx, TaskId};
+use crate::protocol::users::JobKind;
 
 /// Grace period for stopping a task whose job was cancelled or failed under an earlier leader, in milliseconds.
 const INHERITED_STOP_GRACE_MS: u64 = 0;
@@ -157,6 +158,7 @@
             team: job.map(|job| job.spec.team),
             pool: job.and_then(|job| job.spec.pool()),
             best_effort: job.is_some_and(|job| self.is_best_effort(&job.spec)),
+            service: job.is_some_and(|job| job.spec.kind == JobKind::Service),
             timed_out: false,
             dispatch: DispatchState::Inherited,
             log_segment: Some(segment),
--- a/src/coordination/leader/records/requeue.rs
+++ b/src/coordination/leader/records/requeue.rs
@@ -1,6 +1,6 @@
 //! Queues tasks again after they have left a machine, immediately or after a backoff.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::policy::Rank;
@@ -65,6 +65,24 @@
         self.enqueue_moved(tasks);
     }
 
+    /// Moves queued tasks to other queues that have no lasting room on this machine any more, because a task of a
+    /// service was placed there.
+    pub(in crate::coordination::leader) fn requeue_tasks_without_room(&mut self, ix: MachineIx) {
+        let machine = &self.cluster.machines[ix.index()];
+        let queued: BTreeSet<JobIx> = machine
+            .shared_queue
+            .ranks()
+            .chain(machine.dedicated_queue.ranks())
+            .map(|rank| rank.job)
+            .collect();
+        for job in queued {
+            let has_room = |state: &JobState| self.has_lasting_room(ix, state);
+            if !self.workload.jobs.get(&job).is_some_and(has_room) {
+                self.requeue_job_from_machine(ix, job);
+            }
+        }
+    }
+
     fn enqueue_moved(&mut self, tasks: Vec<(Rank, u32)>) {
         let mut by_job: BTreeMap<JobIx, Vec<u32>> = BTreeMap::new();
         for (rank, task) in tasks {
