Random plans ask the leader what each accepted job waits for; a gang is retried where it failed

Cause: nothing asked whether a waiting job waits for something that can end.

Change: placement/outlook names what a job's waiting tasks wait for, by the answers on which placement and plan act. In every random plan a job may wait for nothing but the leader's own next step for 90 s at most. For a gang, machines on which it has not failed count only if they suffice together.

--- a/src/coordination/leader/machines/faults.rs
+++ b/src/coordination/leader/machines/faults.rs
@@ -8,13 +8,14 @@
 //!
 //! This state is not recorded: a new leader starts without it.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
 use super::probation::Probation;
 use crate::coordination::Clock;
 use crate::coordination::leader::placement::eligibility::PlacementBlocker;
+use crate::coordination::leader::placement::zone_rules::tasks_placeable;
 use crate::coordination::leader::{Binding, JobState, Leader, MachineState};
-use crate::ids::{JobId, JobIx, MachineIx, Millis};
+use crate::ids::{JobId, JobIx, MachineIx, Millis, ZoneIx};
 
 /// A machine is quarantined after this many different jobs have failed on it.
 const QUARANTINE_FAILED_JOBS: usize = 2;
@@ -98,9 +99,9 @@
 /// Whether there are machines on which a job has not failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum UntriedMachines {
-    /// There is at least one.
-    Some,
-    /// The job has failed on each machine that it may use.
+    /// They suffice for the job to run.
+    Sufficient,
+    /// They do not suffice without the machines on which the job has failed.
     OnlyFailed,
     /// There is no machine that the job may use.
     None,
@@ -120,8 +121,8 @@
         !job_state.has_succeeded() && failures >= job_state.fault_threshold()
     }
 
-    /// Lifts the exclusion of machines for jobs that have failed on every machine they may use, after growing
-    /// delays. With few machines, one failure on each would otherwise keep such a job waiting forever. Once there is
+    /// Lifts the exclusion of machines for jobs that cannot run without the machines on which they have failed, after
+    /// growing delays. With few machines, one failure on each would otherwise keep such a job waiting forever. Once there is
     /// another machine, the job is excluded again from those on which it has failed.
     pub(in crate::coordination::leader) fn retry_after_exclusion(&mut self, clock: Clock) {
         let failed: Vec<JobIx> = self
@@ -133,13 +134,15 @@
             .collect();
         for ix in failed {
             let Some(job_state) = self.workload.jobs.get(&ix) else { continue };
-            let is_excluded = !job_state.excluded_machines.is_empty();
-            let is_due = clock.now >= job_state.retry_exclusion_not_before;
+            let may_exclude = job_state.excluded_machines.len() < job_state.failed_on.len();
+            let may_lift =
+                !job_state.excluded_machines.is_empty() && clock.now >= job_state.retry_exclusion_not_before;
+            if !may_exclude && !may_lift {
+                continue;
+            }
             match self.untried_machines(job_state) {
-                UntriedMachines::Some if job_state.excluded_machines.len() < job_state.failed_on.len() => {
-                    self.exclude_failed_machines(ix);
-                }
-                UntriedMachines::OnlyFailed if is_excluded && is_due => self.lift_exclusions(ix, clock),
+                UntriedMachines::Sufficient if may_exclude => self.exclude_failed_machines(ix),
+                UntriedMachines::OnlyFailed if may_lift => self.lift_exclusions(ix, clock),
                 _ => {}
             }
         }
@@ -168,20 +171,36 @@
         }
     }
 
-    /// Returns which machines can run the job's tasks, now or later. Cordoned and reserved machines take only gangs and
-    /// services.
+    /// Returns which machines can run the job's tasks, now or later: one for an array, and enough for all tasks of a gang
+    /// or service. Cordoned and reserved machines take only gangs and services.
     fn untried_machines(&self, job_state: &JobState) -> UntriedMachines {
         let placement_index = &self.cluster.placement_index;
-        let mut result = UntriedMachines::None;
+        let is_gang = job_state.spec.is_all_or_nothing();
+        let mut untried_slots: BTreeMap<ZoneIx, u64> = BTreeMap::new();
+        let mut has_failed = false;
         for ix in placement_index.schedulable() {
-            let usable = job_state.spec.is_all_or_nothing() || placement_index.accepts_queued(*ix);
             match self.planning_blocker(*ix, job_state) {
-                None if usable && self.has_lasting_room(*ix, job_state) => return UntriedMachines::Some,
-                Some(PlacementBlocker::FailedBefore) => result = UntriedMachines::OnlyFailed,
+                None if !is_gang && !placement_index.accepts_queued(*ix) => {}
+                None if !is_gang && self.has_lasting_room(*ix, job_state) => {
+                    return UntriedMachines::Sufficient;
+                }
+                None => {
+                    let zone = self.cluster.machines[ix.index()].zone;
+                    let slots = untried_slots.entry(zone).or_default();
+                    *slots = slots.saturating_add(self.lasting_slots(*ix, job_state));
+                }
+                Some(PlacementBlocker::FailedBefore) => has_failed = true,
                 _ => {}
             }
         }
-        result
+        let placeable = tasks_placeable(&job_state.spec, untried_slots.into_values());
+        if is_gang && placeable >= job_state.waiting_tasks() {
+            UntriedMachines::Sufficient
+        } else if has_failed {
+            UntriedMachines::OnlyFailed
+        } else {
+            UntriedMachines::None
+        }
     }
 
     /// Records that a task failed on a machine, and quarantines the machine or starts the job's probation.
--- a/src/coordination/leader/machines/provisioner/offers.rs
+++ b/src/coordination/leader/machines/provisioner/offers.rs
@@ -63,7 +63,7 @@
 
     /// Returns the offer with the lowest cost per task of the job, in the zones that `zone_allowed` accepts.
     /// Offers in backoff are left out.
-    pub(in crate::coordination::leader::machines) fn cheapest_offer(
+    pub(in crate::coordination::leader) fn cheapest_offer(
         &self,
         job_state: &JobState,
         clock: Clock,
--- a/src/coordination/leader/placement/availability.rs
+++ b/src/coordination/leader/placement/availability.rs
@@ -17,6 +17,17 @@
 /// A running task is expected to run at least this much longer.
 const MIN_REMAINING_RUN_MS: u64 = 1_000;
 
+/// What a machine can run for a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::coordination::leader) enum Availability {
+    /// Its free capacity suffices for this many tasks.
+    Now { slots: u64 },
+    /// It is expected to have room for this many tasks once it is up or some of its tasks have ended.
+    Later { slots: u64 },
+    /// As things stand it runs no task of the job, however long the job waits.
+    Never(PlacementBlocker),
+}
+
 /// The room on a machine, now and as its tasks end.
 #[derive(Debug, Clone)]
 pub(in crate::coordination::leader) struct RoomForecast {
@@ -96,6 +107,27 @@
 }
 
 impl Leader {
+    /// Returns what the machine can run for the job.
+    pub(in crate::coordination::leader) fn availability(
+        &self,
+        machine_ix: MachineIx,
+        job: &JobState,
+        clock: Clock,
+    ) -> Availability {
+        if let Some(blocker) = self.planning_blocker(machine_ix, job) {
+            return Availability::Never(blocker);
+        }
+        let Some(forecast) = self.room_forecast(machine_ix, clock) else {
+            return Availability::Never(PlacementBlocker::Unavailable);
+        };
+        let need = &job.spec.task_resources;
+        match forecast.first_fit(need) {
+            Some((0, room)) => Availability::Now { slots: room.slots(need) },
+            Some((_, room)) => Availability::Later { slots: room.slots(need) },
+            None => Availability::Never(PlacementBlocker::InsufficientCapacity),
+        }
+    }
+
     /// Returns why no capacity can be planned for the job on this machine, whatever its state and its other tasks. A
     /// machine on which the job has failed is retried only while there is no other one, so none is planned there.
     pub(in crate::coordination::leader) fn planning_blocker(
@@ -115,14 +147,23 @@
         }
     }
 
+    /// Returns how many tasks of the job fit on the machine once all tasks that end by themselves have ended.
+    pub(in crate::coordination::leader) fn lasting_slots(
+        &self,
+        machine_ix: MachineIx,
+        job: &JobState,
+    ) -> u64 {
+        let machine = &self.cluster.machines[machine_ix.index()];
+        self.empty_room(machine.lasting_capacity()).slots(&job.spec.task_resources)
+    }
+
     /// Returns whether a task of the job fits on the machine once all tasks that end by themselves have ended.
     pub(in crate::coordination::leader) fn has_lasting_room(
         &self,
         machine_ix: MachineIx,
         job: &JobState,
     ) -> bool {
-        let machine = &self.cluster.machines[machine_ix.index()];
-        job.spec.task_resources.fits_in(&machine.lasting_capacity())
+        self.lasting_slots(machine_ix, job) > 0
     }
 
     /// Returns whether tasks of the job may wait in the queues of this machine: they may run there, and the tasks that
--- a/src/coordination/leader/placement/mod.rs
+++ b/src/coordination/leader/placement/mod.rs
@@ -12,6 +12,7 @@
 mod gang_search_cache;
 pub(in crate::coordination::leader) mod gangs;
 mod holds;
+pub mod outlook;
 mod overload;
 pub(in crate::coordination::leader) mod policy;
 mod preemption;
@@ -24,7 +25,7 @@
 mod steal;
 mod stop_tasks;
 mod team_quota;
-mod zone_rules;
+pub(in crate::coordination::leader) mod zone_rules;
 
 const MS_PER_S: f64 = 1000.0;
 /// Thousandths of a CPU in one CPU, and milliseconds in a second.
--- a/src/coordination/leader/placement/zone_rules.rs
+++ b/src/coordination/leader/placement/zone_rules.rs
@@ -28,6 +28,22 @@
     }
 }
 
+/// Returns how many tasks of the job can be placed at the same time by its zone rule, if each zone has room for as many as
+/// given.
+pub(in crate::coordination::leader) fn tasks_placeable(
+    spec: &JobSpec,
+    slots_by_zone: impl Iterator<Item = u64>,
+) -> u64 {
+    if spec.single_zone {
+        slots_by_zone.max().unwrap_or(0)
+    } else if spec.spread {
+        let max_per_zone = u64::from(max_tasks_per_zone(spec));
+        slots_by_zone.map(|slots| slots.min(max_per_zone)).sum()
+    } else {
+        slots_by_zone.fold(0, u64::saturating_add)
+    }
+}
+
 /// Returns how many tasks of a job with the rule `spread` may be in one zone.
 fn max_tasks_per_zone(spec: &JobSpec) -> u32 {
     spec.tasks.div_ceil(2)
--- a/tests/random_faults/main.rs
+++ b/tests/random_faults/main.rs
@@ -2,7 +2,7 @@
 //! during the faults. They guard against:
 //! - violations of the invariants and of the rules of the users' protocol, at any moment;
 //! - polls of accepted jobs that are not answered within 75 s of the last fault;
-//! - accepted jobs that do not finish, and the lack of a single leader at the end.
+//! - accepted jobs that wait for more than 90 s for nothing but the leader's next step, or do not finish, and the lack of a single leader at the end.
 //!
 //! A plan that fails is reduced to the faults that make it fail, and printed as a scenario.
 //! `SEED=17 cargo test --test random_faults` runs only seed 17, `SEEDS=1000 ...` runs the first 1000 seeds.
@@ -17,6 +17,7 @@
 use plans::disconnected_leader::{OUTAGE_DELAYS_MS, WORKER_TIMINGS, disconnected_leader_plan};
 use plans::late_copies::late_copies_plan;
 use plans::limit_changes::limit_changes_plan;
+use plans::mixed_needs::mixed_needs_plan;
 use plans::overlapping::overlapping_faults_plan;
 use plans::restarts::restart_plan;
 use rand::rngs::SmallRng;
@@ -73,6 +74,11 @@
     check_plans(seeds().map(|seed| (format!("copies, seed {seed}"), late_copies_plan(seed))));
 }
 
+#[test]
+fn every_accepted_job_runs_once_the_faults_have_ended() {
+    check_plans(seeds().map(|seed| (format!("needs, seed {seed}"), mixed_needs_plan(seed))));
+}
+
 /// Runs every seed with each set of worker timings. The first seeds use the delays of `OUTAGE_DELAYS_MS`, the others a
 /// random delay.
 #[test]
--- a/tests/random_faults/plans/mod.rs
+++ b/tests/random_faults/plans/mod.rs
@@ -3,6 +3,7 @@
 pub mod disconnected_leader;
 pub mod late_copies;
 pub mod limit_changes;
+pub mod mixed_needs;
 pub mod overlapping;
 pub mod restarts;
 
--- a/tests/simulation/actions/faults.rs
+++ b/tests/simulation/actions/faults.rs
@@ -56,6 +56,24 @@
         Ok(())
     }
 
+    /// Makes all tasks fail on one of the machines that the cloud has, chosen by a number, if there is any.
+    pub(super) fn fail_tasks_on_any_machine(&mut self, words: &[&str]) -> ActionResult {
+        let [number] = words else { return usage_error("NUMBER") };
+        let number: usize = parse_argument(number, "a number")?;
+        let present: Vec<usize> =
+            (0..self.workers.len()).filter(|worker| self.machine_exists(*worker)).collect();
+        if let Some(worker) = present.get(number % present.len().max(1)) {
+            self.workers[*worker].fails_tasks = true;
+        }
+        Ok(())
+    }
+
+    /// Makes tasks succeed again on every machine.
+    pub(super) fn repair_machines(&mut self, _: &[&str]) -> ActionResult {
+        self.workers.iter_mut().for_each(|worker| worker.fails_tasks = false);
+        Ok(())
+    }
+
     /// Makes the job's tasks succeed from now on.
     pub(super) fn stop_task_failures(&mut self, words: &[&str]) -> ActionResult {
         let [id] = words else { return usage_error("JOB") };
--- a/tests/simulation/actions/mod.rs
+++ b/tests/simulation/actions/mod.rs
@@ -79,6 +79,8 @@
     ("fail-tasks", SimulatedCluster::fail_tasks_on_machine),
     ("slow-machine", SimulatedCluster::slow_machine),
     ("stop-failures", SimulatedCluster::stop_task_failures),
+    ("fail-tasks-anywhere", SimulatedCluster::fail_tasks_on_any_machine),
+    ("repair-machines", SimulatedCluster::repair_machines),
     ("reclaim-notice", SimulatedCluster::announce_spot_reclaim),
     ("remove-machine", SimulatedCluster::remove_machine),
     ("change-responses", SimulatedCluster::set_change_response_mode),
--- a/tests/simulation/waiting.rs
+++ b/tests/simulation/waiting.rs
@@ -1,13 +1,16 @@
 //! Checks that no job waits without a reason: once the faults have ended, no job may have a task waiting for more
-//! than 90 s while its team is under its limit and machines that it may use have free capacity for it.
+//! than 90 s while its team is under its limit and machines that it may use have free capacity for it, nor while the
+//! leader's own answer is that it waits for nothing but the next placement pass or capacity plan.
 
 use std::collections::BTreeMap;
 
+use olivelatch::coordination::leader::Leader;
+use olivelatch::coordination::leader::placement::outlook::Outlook;
 use olivelatch_worker::Worker;
 use serde_json::{Value, json};
 
+use super::SimulatedCluster;
 use super::actions::{ActionResult, usage_error};
-use super::{ControllerSlot, SimulatedCluster};
 
 const MAX_WAIT_MS: u64 = 90_000;
 const CHECK_INTERVAL_MS: u64 = 1_000;
@@ -18,6 +21,8 @@
     enabled: bool,
     /// Time since which each job has been waiting although it could start.
     waiting_since: BTreeMap<String, u64>,
+    /// Time since which each job has been waiting for nothing but the leader's next step.
+    stuck_since: BTreeMap<String, u64>,
 }
 
 /// CPUs and memory in thousandths, so that sums are exact.
@@ -40,12 +45,12 @@
         if !self.waiting_check.enabled || self.now % CHECK_INTERVAL_MS != 0 {
             return;
         }
-        let Some(leader) =
-            self.controllers.iter().find_map(|slot: &ControllerSlot| slot.controller.as_ref()?.leader())
-        else {
+        let Some((index, leader)) = self.find_leader() else {
             self.waiting_check.waiting_since.clear();
+            self.waiting_check.stuck_since.clear();
             return;
         };
+        let stuck = self.stuck_jobs(index, leader);
         let mut could_start = Vec::new();
         for job in leader.workload.jobs.values().filter(|job| job.waiting_tasks() > 0 && !job.finishing) {
             let id = job.spec.id.to_string();
@@ -58,17 +63,52 @@
                 could_start.push(id);
             }
         }
-        let now = self.now;
         let before = std::mem::take(&mut self.waiting_check.waiting_since);
-        for id in could_start {
+        let could_start: Vec<(String, &str)> =
+            could_start.into_iter().map(|id| (id, "machines have free capacity for it")).collect();
+        self.waiting_check.waiting_since = self.check_waits(could_start, &before);
+        let before = std::mem::take(&mut self.waiting_check.stuck_since);
+        self.waiting_check.stuck_since = self.check_waits(stuck, &before);
+    }
+
+    fn find_leader(&self) -> Option<(usize, &Leader)> {
+        let slots = self.controllers.iter().enumerate();
+        slots.filter_map(|(index, slot)| Some((index, slot.controller.as_ref()?.leader()?))).next()
+    }
+
+    /// Returns the jobs that, by the leader's answer, wait for nothing but its next step, with what that is.
+    fn stuck_jobs(&self, index: usize, leader: &Leader) -> Vec<(String, &'static str)> {
+        let clock = self.controller_clock(index);
+        let jobs = leader.workload.jobs.iter();
+        jobs.filter_map(|(ix, job)| match leader.outlook(*ix, clock) {
+            Outlook::Room => {
+                Some((job.spec.id.to_string(), "the leader counts on machines with room for it"))
+            }
+            Outlook::Rental => Some((job.spec.id.to_string(), "the leader could rent a machine for it")),
+            _ => None,
+        })
+        .collect()
+    }
+
+    /// Reports the jobs that have been waiting for too long although they should not, for the reason that is given.
+    /// `before` holds the time since which each job has been waiting; returns the same for these jobs.
+    fn check_waits(
+        &mut self,
+        waiting: Vec<(String, &str)>,
+        before: &BTreeMap<String, u64>,
+    ) -> BTreeMap<String, u64> {
+        let mut waiting_since = BTreeMap::new();
+        for (id, reason) in waiting {
             // A job that has started a task since then makes progress.
             let started = self.last_start.get(&id).copied().unwrap_or(0);
-            let since = before.get(&id).copied().filter(|since| *since > started).unwrap_or(now);
-            if now - since > MAX_WAIT_MS {
-                self.violations.push(format!("waits: {id} has been waiting since {since} ms although machines have free capacity for it"));
+            let since = before.get(&id).copied().filter(|since| *since > started).unwrap_or(self.now);
+            if self.now - since > MAX_WAIT_MS {
+                self.violations
+                    .push(format!("waits: {id} has been waiting since {since} ms although {reason}"));
             }
-            self.waiting_check.waiting_since.insert(id, since);
+            waiting_since.insert(id, since);
         }
+        waiting_since
     }
 
     fn could_start(&self, spec: &Value, tasks: usize) -> bool {
