Eligibility: one check of what a machine must be for a job, for placement and for the plan

Cause: the plan's check repeated placement's, with other exclusions. Change: both call mismatch() and add their own exclusions; a doc comment. Behaviour is the same.

--- a/src/coordination/leader/placement/availability.rs
+++ b/src/coordination/leader/placement/availability.rs
@@ -7,7 +7,7 @@
 //! The functions read the leader's state and change nothing.
 
 use crate::coordination::Clock;
-use crate::coordination::leader::placement::eligibility::PlacementBlocker;
+use crate::coordination::leader::placement::eligibility::{PlacementBlocker, mismatch};
 use crate::coordination::leader::{Binding, JobState, Leader, Machine, MachineState};
 use crate::ids::{MachineIx, Resources};
 use crate::protocol::users::JobKind;
@@ -136,15 +136,8 @@
         job: &JobState,
     ) -> Option<PlacementBlocker> {
         let machine = &self.cluster.machines[machine_ix.index()];
-        if !job.spec.allows(machine.machine_type, machine.zone, machine.spot) {
-            Some(PlacementBlocker::NotAllowed)
-        } else if !job.spec.task_resources.fits_in(&machine.capacity) {
-            Some(PlacementBlocker::TooSmall)
-        } else if job.failed_on.contains(&machine_ix) {
-            Some(PlacementBlocker::FailedBefore)
-        } else {
-            None
-        }
+        let has_failed = job.failed_on.contains(&machine_ix);
+        mismatch(machine, job).or(has_failed.then_some(PlacementBlocker::FailedBefore))
     }
 
     /// Returns how many tasks of the job fit on the machine once all tasks that end by themselves have ended.
--- a/src/coordination/leader/placement/eligibility.rs
+++ b/src/coordination/leader/placement/eligibility.rs
@@ -4,7 +4,7 @@
 //!
 //! [`explain`]: crate::coordination::leader::explain
 
-use crate::coordination::leader::{JobState, Leader};
+use crate::coordination::leader::{JobState, Leader, Machine};
 use crate::ids::{JobIx, MachineIx, Resources};
 
 /// A reason why a task cannot start on a machine. A task may start if there is none.
@@ -63,16 +63,10 @@
     ) -> Option<PlacementBlocker> {
         let machine = &self.cluster.machines[machine_ix.index()];
         if !machine.is_schedulable() {
-            Some(PlacementBlocker::Unavailable)
-        } else if !job.spec.allows(machine.machine_type, machine.zone, machine.spot) {
-            Some(PlacementBlocker::NotAllowed)
-        } else if !job.spec.task_resources.fits_in(&machine.capacity) {
-            Some(PlacementBlocker::TooSmall)
-        } else if job.excluded_machines.contains(&machine_ix) {
-            Some(PlacementBlocker::FailedBefore)
-        } else {
-            None
+            return Some(PlacementBlocker::Unavailable);
         }
+        let is_excluded = job.excluded_machines.contains(&machine_ix);
+        mismatch(machine, job).or(is_excluded.then_some(PlacementBlocker::FailedBefore))
     }
 
     /// Returns whether tasks of this job may run on this machine, regardless of free capacity, zone rules and quotas.
@@ -122,3 +116,14 @@
         self.check_start(machine_ix, free, job_ix) == StartCheck::Allowed
     }
 }
+
+/// Returns why tasks of the job could not run on the machine even if it were empty and the job had never failed there.
+pub(super) fn mismatch(machine: &Machine, job: &JobState) -> Option<PlacementBlocker> {
+    if !job.spec.allows(machine.machine_type, machine.zone, machine.spot) {
+        Some(PlacementBlocker::NotAllowed)
+    } else if !job.spec.task_resources.fits_in(&machine.capacity) {
+        Some(PlacementBlocker::TooSmall)
+    } else {
+        None
+    }
+}
--- a/src/coordination/pending_request.rs
+++ b/src/coordination/pending_request.rs
@@ -36,6 +36,7 @@
         self.last_sent_before < read
     }
 
+    /// Returns whether the deadline has passed.
     pub fn is_expired(&self, now: Millis) -> bool {
         self.deadline <= now
     }
